Everywhere: Serve statements end to end through proxies

Cause: there was nothing; a caller needs a statement over HTTP to reach the right database server, with read-your-writes through any proxy.

Change: decision classes for group views, promotion, read routing and write admission; pools of target connections; a request ledger in each group's own database; interactive transactions; peer links; stand-ins for targets with SQLite and Raft-style replication; a lab that hosts all of it and checks what callers were told.

--- /dev/null
+++ b/Libraries/LibCore/names.h
@@ -0,0 +1,50 @@
+#ifndef LIBCORE_NAMES_H_
+#define LIBCORE_NAMES_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace kingcupmill {
+
+// A string that names an object of one kind; kinds do not convert.
+template <typename Tag>
+struct Name {
+  std::string value;
+  friend auto operator<=>(const Name&, const Name&) = default;
+};
+
+// An unsigned counter of one kind; kinds do not convert.
+template <typename Tag>
+struct Counter {
+  uint64_t value = 0;
+  friend auto operator<=>(const Counter&, const Counter&) = default;
+};
+
+using PlaceName = Name<struct PlaceNameTag>;
+using GroupName = Name<struct GroupNameTag>;
+using TargetName = Name<struct TargetNameTag>;
+using ApplicationName = Name<struct ApplicationNameTag>;
+using VmName = Name<struct VmNameTag>;
+// Identifies one request of a caller; the idempotency key.
+using RequestId = Name<struct RequestIdTag>;
+// Identifies one interactive transaction.
+using TransactionId = Name<struct TransactionIdTag>;
+
+// The reign of one primary in one group.
+using Term = Counter<struct TermTag>;
+// The index of an entry in a group's replication log; the first entry is 1.
+using Position = Counter<struct PositionTag>;
+// The number of a published arrangement; the first one is 1.
+using Revision = Counter<struct RevisionTag>;
+
+// The term and position of one log entry, ordered by term, then position.
+struct LogPoint {
+  Term term;
+  Position position;
+  friend auto operator<=>(const LogPoint&, const LogPoint&) = default;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBCORE_NAMES_H_
--- /dev/null
+++ b/Libraries/LibCore/time.h
@@ -0,0 +1,29 @@
+#ifndef LIBCORE_TIME_H_
+#define LIBCORE_TIME_H_
+
+#include <chrono>
+
+namespace kingcupmill {
+
+// All durations have microsecond resolution.
+using Duration = std::chrono::microseconds;
+// A point on one process's monotonic clock; never compared between machines.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using std::chrono::duration_cast;
+using Milliseconds = std::chrono::milliseconds;
+
+// Returns the monotonic time of this process.
+inline TimePoint MonotonicNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+// Returns `duration` in whole milliseconds, rounded down.
+inline int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
+}  // namespace kingcupmill
+
+#endif  // LIBCORE_TIME_H_
--- /dev/null
+++ b/Libraries/LibFailover/Forward.h
@@ -0,0 +1,13 @@
+#ifndef LIBFAILOVER_FORWARD_H_
+#define LIBFAILOVER_FORWARD_H_
+
+namespace kingcupmill {
+
+class AdaptiveTimeout;
+class AgeProofs;
+class GroupView;
+struct PrimaryView;
+
+}  // namespace kingcupmill
+
+#endif  // LIBFAILOVER_FORWARD_H_
--- /dev/null
+++ b/Libraries/LibLab/experiment.cc
@@ -0,0 +1,339 @@
+#include "LibLab/experiment.h"
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "LibArrangement/declaration_folder.h"
+#include "LibLab/caller_session.h"
+#include "LibMetrics/latency_summary.h"
+
+namespace kingcupmill {
+
+namespace {
+
+constexpr const char* kSessionKey = "the lab's session key";
+constexpr Duration kReadyTimeout = std::chrono::seconds(20);
+constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
+constexpr Duration kClockInterval = std::chrono::milliseconds(20);
+constexpr size_t kClockSessionBase = 100'000;
+constexpr size_t kProbeSession = 200'000;
+
+constexpr const char* kTables[] = {
+    "CREATE TABLE IF NOT EXISTS orders (session INTEGER, sequence INTEGER, at "
+    "INTEGER)",
+    "CREATE INDEX IF NOT EXISTS orders_by_session ON orders (session, "
+    "sequence)",
+    "CREATE TABLE IF NOT EXISTS transfers (session INTEGER, sequence INTEGER, "
+    "amount INTEGER)",
+    "CREATE TABLE IF NOT EXISTS clock (id INTEGER PRIMARY KEY, at INTEGER)"};
+
+// Sends one statement and returns whether it ran.
+bool RunStatement(HttpClient& client,
+                  const ApplicationName& application,
+                  const nlohmann::json& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/v1/statements";
+  request.headers.push_back({"Kingcupmill-Application", application.value});
+  request.body = body.dump();
+  auto outcome = Capture([&] { return client.SendAndWait(request); });
+  const auto* response = std::get_if<HttpResponse>(&outcome);
+  return response && response->status == 200;
+}
+
+int64_t IntegerAt(const std::vector<SqlValue>& row, size_t column) {
+  const auto* value = std::get_if<int64_t>(&row.at(column));
+  return value ? *value : 0;
+}
+
+ResultSet RunQuery(SqliteDatabase& database, const char* text) {
+  auto outcome = database.Execute(Statement{text, {}}, Access::kRead);
+  auto* result = std::get_if<ResultSet>(&outcome);
+  return result ? std::move(*result) : ResultSet{};
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Experiment>> Experiment::Create(
+    ExperimentOptions options) {
+  std::unique_ptr<Experiment> experiment(new Experiment(std::move(options)));
+  BOOST_LEAF_CHECK(experiment->Start());
+  return experiment;
+}
+
+Experiment::Experiment(ExperimentOptions options)
+    : options(std::move(options)) {}
+
+Experiment::~Experiment() = default;
+
+Result<void> Experiment::Start() {
+  BOOST_LEAF_AUTO(files, ReadDeclarationFolder(this->options.declarations));
+  std::vector<SettingError> errors;
+  this->arrangement = ArrangementParser::Parse(files, errors);
+  if (!errors.empty())
+    return Fail(ErrorCode::kInvalidInput, FormatErrors(errors));
+  uint16_t port = this->options.port_base;
+  for (auto& [name, target] : this->arrangement.targets)
+    target.address = "127.0.0.1:" + std::to_string(port++);
+  StandinHost::Options host_options;
+  host_options.replica_lag = this->options.replica_lag;
+  BOOST_LEAF_ASSIGN(this->standins,
+                    StandinHost::Create(this->arrangement, host_options));
+  BOOST_LEAF_CHECK(this->StartProxies());
+  return this->CreateTables();
+}
+
+Result<void> Experiment::StartProxies() {
+  auto port = static_cast<uint16_t>(this->options.port_base + 1000);
+  std::vector<PlaceName> places;
+  for (const auto& [name, place] : this->arrangement.places)
+    places.push_back(name);
+  std::vector<Member> members;
+  for (size_t index = 0; index < this->options.vm_count; ++index) {
+    ProxySettings settings;
+    settings.options.vm.value = "vm-" + std::to_string(index + 1);
+    settings.options.place = places[index % places.size()];
+    settings.http_address = "127.0.0.1:" + std::to_string(port++);
+    settings.peer_address = "127.0.0.1:" + std::to_string(port++);
+    settings.session_key = kSessionKey;
+    Member member;
+    member.vm = settings.options.vm;
+    member.place = settings.options.place;
+    member.peer_address = settings.peer_address;
+    members.push_back(member);
+    this->standins->RunAndWait([&] {
+      this->standins->network().SetPlace(member.vm.value, member.place);
+    });
+    BOOST_LEAF_AUTO(proxy, ProxyDaemon::Create(std::move(settings),
+                                               this->options.seed + index));
+    this->proxies.push_back(std::move(proxy));
+  }
+  for (auto& proxy : this->proxies)
+    proxy->Adopt(this->arrangement, members);
+  return {};
+}
+
+std::vector<std::string> Experiment::ProxyAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& proxy : this->proxies)
+    addresses.push_back(proxy->settings().http_address);
+  return addresses;
+}
+
+ApplicationName Experiment::FirstApplication() const {
+  return this->arrangement.applications.begin()->first;
+}
+
+Result<void> Experiment::CreateTables() {
+  HttpClient client(this->ProxyAddresses().front(), kReadyTimeout);
+  for (const auto& [group, declared] : this->arrangement.groups) {
+    for (const char* table : kTables) {
+      const nlohmann::json body = {{"group", group.value},
+                                   {"sql", table},
+                                   {"repeatable", true},
+                                   {"deadline_ms", 15'000}};
+      if (!RunStatement(client, this->FirstApplication(), body)) {
+        return Fail(ErrorCode::kUnavailable,
+                    "the tables of " + group.value + " could not be made");
+      }
+    }
+  }
+  return {};
+}
+
+Result<ExperimentReport> Experiment::Run() {
+  this->RunSessions();
+  this->EndFault();
+  std::this_thread::sleep_for(kSettleTime);
+  return this->MakeReport();
+}
+
+void Experiment::RunSessions() {
+  const TimePoint end = MonotonicNow() + this->options.duration;
+  std::vector<GroupName> groups;
+  for (const auto& [name, group] : this->arrangement.groups)
+    groups.push_back(name);
+  std::vector<ApplicationName> applications;
+  for (const auto& [name, application] : this->arrangement.applications)
+    applications.push_back(name);
+  std::vector<std::unique_ptr<CallerSession>> sessions;
+  std::vector<std::thread> threads;
+  for (size_t index = 0; index < this->options.session_count; ++index) {
+    sessions.push_back(std::make_unique<CallerSession>(
+        index + 1, groups[index % groups.size()],
+        applications[index % applications.size()], this->ProxyAddresses(),
+        this->options));
+    threads.emplace_back([this, session = sessions.back().get(), end] {
+      this->RunSession(*session, end);
+    });
+  }
+  for (size_t index = 0; index < groups.size(); ++index) {
+    threads.emplace_back([this, group = groups[index], index, end] {
+      this->RunClock(group, kClockSessionBase + index, end);
+    });
+  }
+  std::this_thread::sleep_for(this->options.duration / 2);
+  if (const auto gap = this->BreakPrimary())
+    this->gaps.push_back(*gap);
+  for (std::thread& thread : threads)
+    thread.join();
+}
+
+void Experiment::RunSession(CallerSession& session, TimePoint end) {
+  std::vector<CallRecord> records;
+  while (MonotonicNow() < end) {
+    records.push_back(session.MakeCall());
+    std::this_thread::sleep_for(this->options.think_time);
+  }
+  const std::lock_guard lock(this->mutex);
+  this->history.insert(this->history.end(), records.begin(), records.end());
+}
+
+void Experiment::RunClock(const GroupName& group,
+                          size_t number,
+                          TimePoint end) {
+  const auto addresses = this->ProxyAddresses();
+  HttpClient client(addresses[number % addresses.size()], kReadyTimeout);
+  std::vector<ClockTick> acknowledged;
+  while (MonotonicNow() < end) {
+    const int64_t value = MonotonicNow().time_since_epoch().count();
+    const nlohmann::json body = {
+        {"group", group.value},
+        {"sql", "INSERT OR REPLACE INTO clock VALUES (1, ?)"},
+        {"parameters", {value}},
+        {"deadline_ms", 3000}};
+    if (RunStatement(client, this->FirstApplication(), body))
+      acknowledged.push_back({value, MonotonicNow()});
+    std::this_thread::sleep_for(kClockInterval);
+  }
+  const std::lock_guard lock(this->mutex);
+  this->ticks[group] = std::move(acknowledged);
+}
+
+std::optional<Duration> Experiment::BreakPrimary() {
+  if (this->options.fault == PrimaryFault::kNone)
+    return std::nullopt;
+  const GroupName& group_name = this->arrangement.groups.begin()->first;
+  const Group& group = this->arrangement.groups.begin()->second;
+  this->standins->RunAndWait([&] {
+    this->broken_target = this->standins->PrimaryOf(group);
+    if (this->broken_target.value.empty())
+      return;
+    switch (this->options.fault) {
+      case PrimaryFault::kNone:
+        return;
+      case PrimaryFault::kKill:
+        return this->standins->target(this->broken_target).Kill();
+      case PrimaryFault::kCut:
+        return this->standins->network().CutNode(this->broken_target.value);
+      case PrimaryFault::kPause:
+        return this->standins->network().Pause(this->broken_target.value);
+    }
+  });
+  const TimePoint broken_at = MonotonicNow();
+  ExperimentOptions probe_options = this->options;
+  CallerSession probe(kProbeSession, group_name, this->FirstApplication(),
+                      this->ProxyAddresses(), probe_options);
+  std::vector<CallRecord> records;
+  std::optional<Duration> gap;
+  while (!gap && MonotonicNow() - broken_at < kReadyTimeout) {
+    records.push_back(probe.Write());
+    if (records.back().outcome == Outcome::kRan)
+      gap = MonotonicNow() - broken_at;
+  }
+  const std::lock_guard lock(this->mutex);
+  this->history.insert(this->history.end(), records.begin(), records.end());
+  return gap;
+}
+
+void Experiment::EndFault() {
+  if (this->broken_target.value.empty())
+    return;
+  this->standins->RunAndWait([&] {
+    this->standins->network().HealAll();
+    this->standins->network().Resume(this->broken_target.value);
+    StandinTarget& target = this->standins->target(this->broken_target);
+    if (!target.member().is_running())
+      target.Restart();
+  });
+}
+
+std::map<GroupName, FinalState> Experiment::ReadFinalStates() {
+  std::map<GroupName, FinalState> states;
+  this->standins->RunAndWait([&] {
+    for (const auto& [name, group] : this->arrangement.groups) {
+      FinalState& state = states[name];
+      state.primary = this->standins->PrimaryOf(group);
+      if (state.primary.value.empty())
+        continue;
+      SqliteDatabase& database =
+          this->standins->target(state.primary).member().visible_database();
+      for (const auto& row :
+           RunQuery(database,
+                    "SELECT session, sequence, count(*) FROM orders GROUP BY "
+                    "session, sequence")
+               .rows) {
+        state.orders[{IntegerAt(row, 0), IntegerAt(row, 1)}] =
+            IntegerAt(row, 2);
+      }
+      for (const auto& row :
+           RunQuery(database,
+                    "SELECT session, sequence, count(*), sum(amount) FROM "
+                    "transfers GROUP BY session, sequence")
+               .rows) {
+        state.transfers[{IntegerAt(row, 0), IntegerAt(row, 1)}] = {
+            IntegerAt(row, 2), IntegerAt(row, 3)};
+      }
+    }
+  });
+  return states;
+}
+
+ExperimentReport Experiment::MakeReport() {
+  ExperimentReport report;
+  report.workload =
+      std::filesystem::path(this->options.declarations).filename().string();
+  LatencySummary reads;
+  LatencySummary writes;
+  for (const CallRecord& record : this->history) {
+    ++report.requests.sent;
+    report.requests.ran += record.outcome == Outcome::kRan ? 1 : 0;
+    report.requests.not_run += record.outcome == Outcome::kNotRun ? 1 : 0;
+    report.requests.unknown += record.outcome == Outcome::kUnknown ? 1 : 0;
+    const bool is_read = record.kind == CallKind::kSessionRead ||
+                         record.kind == CallKind::kAgedRead;
+    const Duration latency = record.finished_at - record.started_at;
+    if (is_read)
+      reads.Observe(latency);
+    else if (record.kind == CallKind::kWrite)
+      writes.Observe(latency);
+    if (!is_read || record.outcome != Outcome::kRan)
+      continue;
+    ++report.reads;
+    report.replica_reads += record.is_from_primary ? 0 : 1;
+  }
+  report.read_p50 = reads.p50();
+  report.read_p99 = reads.p99();
+  report.write_p50 = writes.p50();
+  report.write_p99 = writes.p99();
+  report.failover_gaps = this->gaps;
+  const HistoryChecker checker(this->ReadFinalStates(), this->ticks,
+                               this->options.stated_age);
+  report.violations = checker.Check(this->history);
+  return report;
+}
+
+Result<void> WriteWholeFile(const std::string& path, const std::string& text) {
+  std::ofstream stream(path, std::ios::binary | std::ios::trunc);
+  stream << text;
+  stream.close();
+  if (!stream)
+    return Fail(ErrorCode::kUnavailable, "cannot write " + path);
+  return {};
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibLab/experiment.h
@@ -0,0 +1,70 @@
+#ifndef LIBLAB_EXPERIMENT_H_
+#define LIBLAB_EXPERIMENT_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibArrangement/arrangement.h"
+#include "LibCore/error.h"
+#include "LibLab/call_record.h"
+#include "LibLab/experiment_options.h"
+#include "LibLab/experiment_report.h"
+#include "LibLab/history_checker.h"
+#include "LibProxy/proxy_daemon.h"
+#include "LibStandins/standin_host.h"
+
+namespace kingcupmill {
+
+class CallerSession;
+
+// One run of the lab: stand-ins and proxies in this process, a closed-loop load
+// over HTTP, a fault half-way, and a check of everything callers were told.
+class Experiment {
+ public:
+  static Result<std::unique_ptr<Experiment>> Create(ExperimentOptions options);
+  ~Experiment();
+  Experiment(const Experiment&) = delete;
+  Experiment& operator=(const Experiment&) = delete;
+
+  Result<ExperimentReport> Run();
+
+ private:
+  explicit Experiment(ExperimentOptions options);
+  Result<void> Start();
+  Result<void> StartProxies();
+  Result<void> CreateTables();
+  std::vector<std::string> ProxyAddresses() const;
+  ApplicationName FirstApplication() const;
+
+  void RunSessions();
+  void RunSession(CallerSession& session, TimePoint end);
+  void RunClock(const GroupName& group, size_t number, TimePoint end);
+  // Breaks the first group's primary and measures how long its writes stop.
+  std::optional<Duration> BreakPrimary();
+  void EndFault();
+  std::map<GroupName, FinalState> ReadFinalStates();
+  ExperimentReport MakeReport();
+
+  ExperimentOptions options;
+  Arrangement arrangement;
+  std::unique_ptr<StandinHost> standins;
+  std::vector<std::unique_ptr<ProxyDaemon>> proxies;
+  TargetName broken_target;
+
+  std::mutex mutex;
+  std::vector<CallRecord> history;
+  std::map<GroupName, std::vector<ClockTick>> ticks;
+  std::vector<Duration> gaps;
+};
+
+// Writes `text` to `path`. Fails with kUnavailable when it cannot.
+Result<void> WriteWholeFile(const std::string& path, const std::string& text);
+
+}  // namespace kingcupmill
+
+#endif  // LIBLAB_EXPERIMENT_H_
--- /dev/null
+++ b/Libraries/LibLab/experiment_report.h
@@ -0,0 +1,64 @@
+#ifndef LIBLAB_EXPERIMENT_REPORT_H_
+#define LIBLAB_EXPERIMENT_REPORT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "LibCore/time.h"
+
+namespace kingcupmill {
+
+// What one run of the lab found.
+struct ExperimentReport {
+  std::string workload;
+
+  struct Requests {
+    uint64_t sent = 0;
+    uint64_t ran = 0;
+    uint64_t not_run = 0;
+    uint64_t unknown = 0;
+  };
+  Requests requests;
+
+  // Broken promises, counted from what callers were told against what the
+  // databases hold at the end.
+  struct Violations {
+    uint64_t lost = 0;
+    uint64_t duplicated = 0;
+    uint64_t mixed = 0;
+    uint64_t superseded_ack = 0;
+    uint64_t read_your_writes = 0;
+    uint64_t false_not_run = 0;
+    uint64_t stale_beyond_age = 0;
+
+    uint64_t total() const {
+      return this->lost + this->duplicated + this->mixed +
+             this->superseded_ack + this->read_your_writes +
+             this->false_not_run + this->stale_beyond_age;
+    }
+  };
+  Violations violations;
+
+  uint64_t reads = 0;
+  uint64_t replica_reads = 0;
+  std::vector<Duration> failover_gaps;
+  Duration read_p50{0};
+  Duration read_p99{0};
+  Duration write_p50{0};
+  Duration write_p99{0};
+
+  double replica_read_share() const {
+    return this->reads == 0 ? 0
+                            : static_cast<double>(this->replica_reads) /
+                                  static_cast<double>(this->reads);
+  }
+};
+
+// Returns the report as JSON, and as a table for people.
+std::string FormatReportAsJson(const ExperimentReport& report);
+std::string FormatReportAsTable(const ExperimentReport& report);
+
+}  // namespace kingcupmill
+
+#endif  // LIBLAB_EXPERIMENT_REPORT_H_
--- /dev/null
+++ b/Libraries/LibRequests/group_agent.h
@@ -0,0 +1,51 @@
+#ifndef LIBREQUESTS_GROUP_AGENT_H_
+#define LIBREQUESTS_GROUP_AGENT_H_
+
+#include <memory>
+
+#include "LibRequests/group_monitor.h"
+#include "LibRequests/group_options.h"
+#include "LibRequests/read_executor.h"
+#include "LibRequests/reply.h"
+#include "LibRequests/transaction_table.h"
+#include "LibRequests/write_executor.h"
+
+namespace kingcupmill {
+
+// Everything a home proxy does for one group: it watches the targets, promotes,
+// and runs the requests of callers.
+class GroupAgent {
+ public:
+  GroupAgent(Scheduler& scheduler,
+             TargetConnector& connector,
+             const DecisionLog& log,
+             SeededRandom& random,
+             GroupOptions options,
+             GroupMonitor::DidPromote did_promote);
+  ~GroupAgent();
+  GroupAgent(const GroupAgent&) = delete;
+  GroupAgent& operator=(const GroupAgent&) = delete;
+
+  void Handle(ClientRequest request, Reply reply);
+
+  GroupMonitor& monitor() { return this->group_monitor; }
+  const GroupMonitor& monitor() const { return this->group_monitor; }
+  const ReadExecutor& reads() const { return this->read_executor; }
+  TransactionTable& transactions() { return this->transaction_table; }
+  const GroupOptions& options() const { return this->group_options; }
+
+ private:
+  void Tick();
+
+  Scheduler& scheduler;
+  GroupOptions group_options;
+  GroupMonitor group_monitor;
+  WriteExecutor write_executor;
+  ReadExecutor read_executor;
+  TransactionTable transaction_table;
+  Scheduler::TimerId tick_timer = 0;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBREQUESTS_GROUP_AGENT_H_
--- /dev/null
+++ b/Libraries/LibRequests/group_monitor.cc
@@ -0,0 +1,212 @@
+#include "LibRequests/group_monitor.h"
+
+#include <utility>
+
+#include "LibCore/decision_log.h"
+#include "LibCore/verify.h"
+#include "LibRequests/request_ledger.h"
+
+namespace kingcupmill {
+
+namespace {
+
+const char* ToString(PromotionReason reason) {
+  switch (reason) {
+    case PromotionReason::kNone:
+      return "none";
+    case PromotionReason::kNoPrimary:
+      return "no primary";
+    case PromotionReason::kPrimarySilent:
+      return "replicas do not hear the primary";
+    case PromotionReason::kPrimaryUnreachable:
+      return "primary unreachable";
+    case PromotionReason::kPrimaryLeaving:
+      return "primary leaving";
+  }
+  return "none";
+}
+
+std::string JoinNames(std::span<const TargetName> names) {
+  std::string text;
+  for (const TargetName& name : names)
+    text += (text.empty() ? "" : " ") + name.value;
+  return text;
+}
+
+}  // namespace
+
+GroupMonitor::GroupMonitor(Scheduler& scheduler,
+                           TargetConnector& connector,
+                           const DecisionLog& log,
+                           SeededRandom& random,
+                           const GroupOptions& options,
+                           DidPromote did_promote)
+    : scheduler(scheduler),
+      log(log),
+      options(options),
+      did_promote(std::move(did_promote)),
+      group_view(options.members, options.age_proofs),
+      promoter(options.promoter, random) {
+  for (const TargetName& member : options.members) {
+    this->pools.emplace(
+        member, std::make_unique<TargetPool>(
+                    scheduler, connector, member, options.pool, [this, member] {
+                      this->group_view.DidLoseTarget(member,
+                                                     this->scheduler.Now());
+                    }));
+  }
+  this->tick_timer = scheduler.PostAfter(Duration(0), [this] { this->Tick(); });
+}
+
+GroupMonitor::~GroupMonitor() {
+  this->scheduler.Cancel(this->tick_timer);
+}
+
+void GroupMonitor::SetRank(size_t rank) {
+  this->rank = rank;
+}
+
+void GroupMonitor::SetLeaving(std::set<TargetName> leaving) {
+  this->leaving = std::move(leaving);
+}
+
+void GroupMonitor::SetLocal(std::set<TargetName> local) {
+  this->local = std::move(local);
+}
+
+TargetPool& GroupMonitor::pool(const TargetName& target) {
+  const auto found = this->pools.find(target);
+  KINGCUPMILL_VERIFY(found != this->pools.end());
+  return *found->second;
+}
+
+std::map<TargetName, TargetLoad> GroupMonitor::Loads(Priority priority) const {
+  std::map<TargetName, TargetLoad> loads;
+  for (const auto& [target, pool] : this->pools) {
+    if (!pool->is_usable())
+      continue;
+    TargetLoad& load = loads[target];
+    load.expected_wait = pool->ExpectedWait(priority);
+    load.round_trip = pool->round_trip();
+    load.is_leaving = this->leaving.contains(target);
+    load.is_local = this->local.contains(target);
+  }
+  return loads;
+}
+
+void GroupMonitor::Tick() {
+  for (auto& [target, pool] : this->pools)
+    pool->Tick();
+  this->Review();
+  this->Probe();
+  const bool is_fast =
+      this->promoter.is_active() || !this->group_view.primary();
+  this->tick_timer =
+      this->scheduler.PostAfter(is_fast ? this->options.fast_probe_interval
+                                        : this->options.probe_interval,
+                                [this] { this->Tick(); });
+}
+
+void GroupMonitor::Probe() {
+  const TimePoint sent_at = this->scheduler.Now();
+  if (sent_at == this->last_probe_at)
+    return;
+  this->last_probe_at = sent_at;
+  for (auto& [target, pool] : this->pools) {
+    TargetRequest request;
+    request.operation = TargetOperation::kStatus;
+    pool->Control(
+        std::move(request), [this, target = target, sent_at](
+                                const std::optional<TargetResponse>& response) {
+          if (!response)
+            return;
+          this->group_view.DidReceiveStatus(target, response->status, sent_at,
+                                            this->scheduler.Now());
+        });
+  }
+}
+
+void GroupMonitor::Review() {
+  this->Run(this->promoter.Tick(this->scheduler.Now(), this->group_view,
+                                this->rank, this->leaving));
+}
+
+void GroupMonitor::Run(const std::vector<PromotionAction>& actions) {
+  for (const PromotionAction& action : actions)
+    std::visit([this](const auto& concrete) { this->Perform(concrete); },
+               action);
+}
+
+std::string GroupMonitor::Proposer() const {
+  return this->options.vm.value;
+}
+
+void GroupMonitor::Perform(const SealTarget& action) {
+  TargetRequest request;
+  request.operation = TargetOperation::kSeal;
+  request.term = action.term;
+  request.proposer = this->Proposer();
+  const TimePoint sent_at = this->scheduler.Now();
+  this->pool(action.target)
+      .Control(std::move(request),
+               [this, action,
+                sent_at](const std::optional<TargetResponse>& response) {
+                 if (!response)
+                   return;
+                 const TimePoint now = this->scheduler.Now();
+                 this->group_view.DidReceiveStatus(
+                     action.target, response->status, sent_at, now);
+                 const bool is_granted =
+                     response->error == TargetErrorCode::kNone;
+                 this->Run(this->promoter.DidReceiveSeal(
+                     now, action.target, action.term, is_granted,
+                     response->status, this->group_view));
+               });
+}
+
+void GroupMonitor::Perform(const LeadTarget& action) {
+  this->log.Write(DecisionLog::Frequency::kRare, "promote",
+                  this->options.group.value, action.target.value,
+                  JoinNames(this->group_view.members()),
+                  std::string(ToString(this->promoter.reason())) + ", term " +
+                      std::to_string(action.term.value));
+  TargetRequest request;
+  request.operation = TargetOperation::kLead;
+  request.term = action.term;
+  request.proposer = this->Proposer();
+  request.statements = LedgerMarker(action.term, action.target);
+  const TimePoint sent_at = this->scheduler.Now();
+  this->pool(action.target)
+      .Control(std::move(request),
+               [this, action,
+                sent_at](const std::optional<TargetResponse>& response) {
+                 if (!response)
+                   return;
+                 const TimePoint now = this->scheduler.Now();
+                 this->group_view.DidReceiveStatus(
+                     action.target, response->status, sent_at, now);
+                 const bool is_leading =
+                     response->error == TargetErrorCode::kNone;
+                 this->Run(this->promoter.DidReceiveLead(
+                     now, action.target, action.term, is_leading));
+               });
+}
+
+void GroupMonitor::Perform(const HoldWrites& action) {
+  TargetRequest request;
+  request.operation = TargetOperation::kHold;
+  request.term = action.term;
+  request.wait = action.duration;
+  this->pool(action.target)
+      .Control(std::move(request),
+               [this](const std::optional<TargetResponse>& response) {
+                 if (response && response->error == TargetErrorCode::kNone)
+                   this->promoter.DidReceiveHold(this->scheduler.Now());
+               });
+}
+
+void GroupMonitor::Perform(const RecordPrimary& action) {
+  this->did_promote(action);
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibRequests/group_options.h
@@ -0,0 +1,58 @@
+#ifndef LIBREQUESTS_GROUP_OPTIONS_H_
+#define LIBREQUESTS_GROUP_OPTIONS_H_
+
+#include <set>
+#include <vector>
+
+#include "LibCore/names.h"
+#include "LibFailover/age_proofs.h"
+#include "LibFailover/promoter.h"
+#include "LibRequests/retry_budget.h"
+#include "LibRequests/target_pool.h"
+#include "LibRouting/read_router.h"
+#include "LibRouting/write_admission.h"
+#include "LibTarget/target_request.h"
+
+namespace kingcupmill {
+
+// Protections that experiments can switch off to show that they are needed.
+enum class Guard {
+  kMajorityAcknowledgement,
+  kSeal,
+  kLedger,
+  kTombstone,
+  kTokenWait,
+  kAgeProof,
+  kConnectionCheck,
+  kRevisionCheck,
+};
+
+// The settings of everything a proxy does for one group.
+struct GroupOptions {
+  GroupName group;
+  std::vector<TargetName> members;
+  VmName vm;
+  TargetPool::Options pool;
+  PromoterOptions promoter;
+  ReadRouter::Options router;
+  WriteAdmission::Options admission;
+  AgeProofs::Options age_proofs;
+  RetryBudget::Options retry_budget;
+  Acknowledge acknowledge = Acknowledge::kMajority;
+  // The time between two rounds of statuses.
+  Duration probe_interval = std::chrono::milliseconds(100);
+  // The same while a promotion is under way.
+  Duration fast_probe_interval = std::chrono::milliseconds(10);
+  // An interactive transaction without a statement for this long is rolled
+  // back, because it holds the write lock.
+  Duration transaction_idle_limit = std::chrono::seconds(10);
+  std::set<Guard> disabled_guards;
+
+  bool is_enabled(Guard guard) const {
+    return !this->disabled_guards.contains(guard);
+  }
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBREQUESTS_GROUP_OPTIONS_H_
--- /dev/null
+++ b/Libraries/LibRouting/read_router.cc
@@ -0,0 +1,159 @@
+#include "LibRouting/read_router.h"
+
+#include <algorithm>
+
+#include "LibFailover/group_view.h"
+
+namespace kingcupmill {
+
+ReadRouter::ReadRouter(Options options) : options(options) {}
+
+ReadDecision ReadRouter::Route(
+    TimePoint now,
+    const ReadQuery& query,
+    const GroupView& view,
+    const std::map<TargetName, TargetLoad>& loads) const {
+  ReadDecision best;
+  best.reason = "no target qualifies yet";
+  const auto primary = view.primary();
+  if (this->is_from_the_future(query, view)) {
+    best.kind = ReadDecision::Kind::kFail;
+    best.reason = "the session token is ahead of the group";
+    return best;
+  }
+  const auto required = this->RequiredPosition(now, query, view);
+  const bool may_use_primary =
+      primary && this->is_primary_confirmed(now, query, view);
+
+  std::optional<Duration> best_cost;
+  for (const auto& [target, load] : loads) {
+    const auto* observation = view.Find(target);
+    if (!observation || !observation->is_reachable)
+      continue;
+    const bool is_primary = primary && primary->target == target;
+    if (load.is_leaving && !is_primary)
+      continue;
+    Duration cost = load.expected_wait + load.round_trip;
+    Duration catch_up{0};
+    if (is_primary) {
+      if (!may_use_primary)
+        continue;
+      cost += this->options.primary_slot_cost;
+    } else {
+      if (!required || !this->options.uses_replicas)
+        continue;
+      catch_up = this->ExpectedCatchUp(now, target, *required, view);
+      if (catch_up > this->options.replica_wait_limit)
+        continue;
+      cost += catch_up;
+    }
+    if (best_cost && *best_cost <= cost)
+      continue;
+    best_cost = cost;
+    best.kind = ReadDecision::Kind::kSend;
+    best.target = target;
+    best.is_primary = is_primary;
+    best.minimum_position = required.value_or(Position{});
+    best.wait = this->options.replica_wait_limit;
+    best.reason = is_primary ? "primary has the lowest cost"
+                             : "replica has the lowest cost";
+  }
+  return best;
+}
+
+bool ReadRouter::is_from_the_future(const ReadQuery& query,
+                                    const GroupView& view) const {
+  if (!query.session_point ||
+      query.session_point->position <= view.confirmed()) {
+    return false;
+  }
+  const auto primary = view.primary();
+  const auto confirmed_at = view.majority_confirmed_at();
+  if (!primary || !confirmed_at || *confirmed_at < query.arrived_at)
+    return false;
+  const auto* observation = view.Find(primary->target);
+  return observation->sent_at >= query.arrived_at &&
+         observation->status.confirmed.term == primary->term;
+}
+
+std::optional<Position> ReadRouter::RequiredPosition(
+    TimePoint now,
+    const ReadQuery& query,
+    const GroupView& view) const {
+  Position required;
+  if (query.session_point)
+    required = query.session_point->position;
+  if (!query.maximum_age) {
+    if (!query.session_point)
+      return std::nullopt;
+    return required;
+  }
+  // A margin that eats a short age whole would refuse what can be served.
+  const Duration margin =
+      std::min(this->options.age_margin, *query.maximum_age / 2);
+  const auto young =
+      view.age_proofs().PositionSince(now - *query.maximum_age + margin);
+  if (!young)
+    return std::nullopt;
+  return std::max(required, *young);
+}
+
+bool ReadRouter::is_primary_confirmed(TimePoint now,
+                                      const ReadQuery& query,
+                                      const GroupView& view) const {
+  // A session point alone is enough proof: the position is either there or
+  // waited for.
+  if (query.session_point && !query.maximum_age)
+    return true;
+  const auto primary = view.primary();
+  const auto confirmed_at = view.majority_confirmed_at();
+  if (!primary || !confirmed_at)
+    return false;
+  // Until a new primary has confirmed an entry of its own term, acknowledged
+  // entries of earlier terms may be missing from what its reads see.
+  const auto* observation = view.Find(primary->target);
+  if (observation->status.confirmed.term != primary->term)
+    return false;
+  Duration window = this->options.confirmation_window;
+  if (query.maximum_age)
+    window = std::min(window, *query.maximum_age);
+  return now - *confirmed_at <= window;
+}
+
+bool ReadRouter::is_young_enough(TimePoint now,
+                                 const ReadQuery& query,
+                                 Position position,
+                                 const GroupView& view) const {
+  if (!query.maximum_age)
+    return true;
+  const auto proven_at = view.age_proofs().ProvenAt(position);
+  return proven_at && now - *proven_at <= *query.maximum_age;
+}
+
+Duration ReadRouter::ExpectedCatchUp(TimePoint now,
+                                     const TargetName& target,
+                                     Position required,
+                                     const GroupView& view) const {
+  const auto* observation = view.Find(target);
+  if (observation->status.visible >= required)
+    return Duration(0);
+  // The position was confirmed after the last proof that is below it.
+  const auto known_at =
+      view.age_proofs().ProvenAt(Position{required.value - 1});
+  if (!known_at)
+    return Duration::max() / 4;
+  const TimePoint expected_at = *known_at + this->ReplicaLag(target, view);
+  return std::max(Duration(0), expected_at - now);
+}
+
+Duration ReadRouter::ReplicaLag(const TargetName& target,
+                                const GroupView& view) const {
+  const auto* observation = view.Find(target);
+  const auto proven_at =
+      view.age_proofs().ProvenAt(observation->status.visible);
+  if (!proven_at)
+    return Duration::max() / 4;
+  return std::max(Duration(0), observation->received_at - *proven_at);
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibStandins/standin_host.h
@@ -0,0 +1,60 @@
+#ifndef LIBSTANDINS_STANDIN_HOST_H_
+#define LIBSTANDINS_STANDIN_HOST_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "LibArrangement/arrangement.h"
+#include "LibCore/error.h"
+#include "LibStandins/standin_network.h"
+#include "LibStandins/standin_target.h"
+#include "LibStandins/target_listener.h"
+#include "LibWire/event_loop.h"
+
+namespace kingcupmill {
+
+// Runs a stand-in for every target of an arrangement, on sockets and on an
+// event loop of its own.
+class StandinHost {
+ public:
+  struct Options {
+    StandinNetwork::Latencies latencies;
+    Duration replica_lag = Duration(0);
+    Duration connect_time = std::chrono::milliseconds(12);
+    Duration service_time = Duration(300);
+  };
+
+  // Listens on the addresses of the arrangement's targets. Fails when one is
+  // taken.
+  static Result<std::unique_ptr<StandinHost>> Create(
+      const Arrangement& arrangement,
+      Options options);
+  ~StandinHost();
+  StandinHost(const StandinHost&) = delete;
+  StandinHost& operator=(const StandinHost&) = delete;
+
+  // Runs `task` on the host's loop and waits for it. The members below may be
+  // used only inside such a task.
+  void RunAndWait(const std::function<void()>& task);
+
+  StandinNetwork& network() { return this->standin_network; }
+  StandinTarget& target(const TargetName& name);
+  // Returns the name of the group's current primary; empty when it has none.
+  TargetName PrimaryOf(const Group& group);
+
+ private:
+  explicit StandinHost(Options options);
+  Result<void> Start(const Arrangement& arrangement);
+
+  Options options;
+  EventLoop loop;
+  StandinNetwork standin_network;
+  std::map<TargetName, std::unique_ptr<StandinTarget>> targets;
+  std::vector<std::unique_ptr<TargetListener>> listeners;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBSTANDINS_STANDIN_HOST_H_
--- /dev/null
+++ b/Libraries/LibStandins/target_listener.h
@@ -0,0 +1,48 @@
+#ifndef LIBSTANDINS_TARGET_LISTENER_H_
+#define LIBSTANDINS_TARGET_LISTENER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibCore/error.h"
+#include "LibStandins/standin_target.h"
+#include "LibWire/web_socket_server.h"
+
+namespace kingcupmill {
+
+class EventLoop;
+class StandinNetwork;
+
+// Serves one StandinTarget over WebSockets. Messages pass through the stand-in
+// network, whose latencies and cuts apply once the client has said which VM it
+// is in its hello.
+class TargetListener {
+ public:
+  TargetListener(EventLoop& loop,
+                 StandinNetwork& network,
+                 StandinTarget& target);
+
+  // Listens on `address` ("IP:port"); returns the port.
+  Result<uint16_t> Listen(const std::string& address);
+
+ private:
+  struct Session {
+    StandinTarget::ConnectionId connection = 0;
+    std::string vm;
+  };
+  using Socket = std::shared_ptr<WebSocketConnection>;
+
+  void DidOpen(const Socket& socket);
+  void DidClose(const Socket& socket);
+  void DidReceive(const Socket& socket, const std::vector<uint8_t>& bytes);
+
+  StandinNetwork& network;
+  StandinTarget& target;
+  std::map<Socket, Session> sessions;
+  WebSocketServer server;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBSTANDINS_TARGET_LISTENER_H_
--- /dev/null
+++ b/Libraries/LibTarget/target_status.h
@@ -0,0 +1,31 @@
+#ifndef LIBTARGET_TARGET_STATUS_H_
+#define LIBTARGET_TARGET_STATUS_H_
+
+#include "LibCore/names.h"
+#include "LibCore/time.h"
+
+namespace kingcupmill {
+
+// What a target does in its group.
+enum class TargetRole { kReplica, kPrimary };
+
+// What a target reports about itself.
+struct TargetStatus {
+  TargetRole role = TargetRole::kReplica;
+  // The highest term this target has been sealed in; a primary leads this term.
+  Term term;
+  // The last entry in its log, whether confirmed or not.
+  LogPoint last_entry;
+  // The last entry it knows to be held by a majority of its group. A primary
+  // whose confirmed entry is of its own term knows all acknowledged entries.
+  LogPoint confirmed;
+  // The last position that reads on this target see; at most `confirmed`.
+  Position visible;
+  // The time since it last heard from a primary of its term, on its own clock.
+  Duration since_primary_heard{0};
+  friend bool operator==(const TargetStatus&, const TargetStatus&) = default;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBTARGET_TARGET_STATUS_H_
--- /dev/null
+++ b/Libraries/LibToml/toml_section.cc
@@ -0,0 +1,173 @@
+#include "LibToml/toml_section.h"
+
+#include <toml++/toml.h>
+
+#include <utility>
+
+namespace kingcupmill {
+
+// Keeps the whole document alive while one of its tables is in use.
+struct TomlSection::Node {
+  std::shared_ptr<const toml::table> document;
+  const toml::table* table;
+  std::string file;
+};
+
+TomlSection::TomlSection(std::shared_ptr<const Node> node,
+                         std::string path,
+                         std::vector<SettingError>& errors)
+    : node(std::move(node)), path(std::move(path)), errors(&errors) {}
+
+TomlSection TomlSection::Parse(std::string_view text,
+                               const std::string& file,
+                               std::vector<SettingError>& errors) {
+  auto document = std::make_shared<toml::table>();
+  try {
+    *document = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    errors.push_back({{file, error.source().begin.line},
+                      "(syntax)",
+                      std::string(error.description())});
+  }
+  auto node = std::make_shared<Node>();
+  node->table = document.get();
+  node->document = std::move(document);
+  node->file = file;
+  return TomlSection(std::move(node), "", errors);
+}
+
+std::string TomlSection::RequiredString(std::string_view key) {
+  if (!this->node->table->contains(key)) {
+    this->read_keys.emplace(key);
+    this->AddError(key, "is missing");
+    return {};
+  }
+  std::string value = this->String(key, "");
+  const auto* present = this->node->table->get(key);
+  if (value.empty() && present->is_string())
+    this->AddError(key, "is empty");
+  return value;
+}
+
+std::string TomlSection::String(std::string_view key,
+                                std::string_view fallback) {
+  this->read_keys.emplace(key);
+  const auto* value = this->node->table->get(key);
+  if (!value)
+    return std::string(fallback);
+  if (const auto* text = value->as_string())
+    return text->get();
+  this->AddError(key, "is not a string");
+  return std::string(fallback);
+}
+
+int64_t TomlSection::Integer(std::string_view key,
+                             int64_t fallback,
+                             Range range) {
+  this->read_keys.emplace(key);
+  const auto* value = this->node->table->get(key);
+  if (!value)
+    return fallback;
+  const auto* integer = value->as_integer();
+  if (!integer) {
+    this->AddError(key, "is not a whole number");
+    return fallback;
+  }
+  if (integer->get() < range.minimum || integer->get() > range.maximum) {
+    this->AddError(key, "is not between " + std::to_string(range.minimum) +
+                            " and " + std::to_string(range.maximum));
+    return fallback;
+  }
+  return integer->get();
+}
+
+Duration TomlSection::DurationInMilliseconds(std::string_view key,
+                                             Duration fallback,
+                                             Range range) {
+  return Milliseconds(this->Integer(key, ToMilliseconds(fallback), range));
+}
+
+std::vector<std::string> TomlSection::Strings(std::string_view key) {
+  this->read_keys.emplace(key);
+  std::vector<std::string> texts;
+  const auto* value = this->node->table->get(key);
+  if (!value)
+    return texts;
+  const auto* array = value->as_array();
+  if (!array) {
+    this->AddError(key, "is not an array of strings");
+    return texts;
+  }
+  for (const auto& element : *array) {
+    if (const auto* text = element.as_string())
+      texts.push_back(text->get());
+    else
+      this->AddError(key, "holds something that is not a string");
+  }
+  return texts;
+}
+
+std::vector<TomlSection> TomlSection::Sections(std::string_view key) {
+  this->read_keys.emplace(key);
+  std::vector<TomlSection> sections;
+  const auto* value = this->node->table->get(key);
+  if (!value)
+    return sections;
+  const auto* array = value->as_array();
+  if (!array || !array->is_array_of_tables()) {
+    this->AddError(key, "is not an array of tables");
+    return sections;
+  }
+  for (const auto& element : *array) {
+    auto child = std::make_shared<Node>(*this->node);
+    child->table = element.as_table();
+    sections.push_back(
+        TomlSection(std::move(child), this->PathOf(key), *this->errors));
+  }
+  return sections;
+}
+
+TomlSection TomlSection::Section(std::string_view key) {
+  this->read_keys.emplace(key);
+  static const toml::table kEmptyTable;
+  auto child = std::make_shared<Node>(*this->node);
+  child->table = &kEmptyTable;
+  if (const auto* value = this->node->table->get(key)) {
+    if (const auto* table = value->as_table())
+      child->table = table;
+    else
+      this->AddError(key, "is not a table");
+  }
+  return TomlSection(std::move(child), this->PathOf(key), *this->errors);
+}
+
+void TomlSection::RejectUnknownKeys() {
+  for (const auto& [key, value] : *this->node->table) {
+    if (!this->read_keys.contains(std::string_view(key.str())))
+      this->AddError(key.str(), "is not a known key");
+  }
+}
+
+void TomlSection::AddError(std::string_view key, std::string message) {
+  this->errors->push_back(
+      {this->LocationOf(key), this->PathOf(key), std::move(message)});
+}
+
+SourceLocation TomlSection::location() const {
+  return {this->node->file, this->node->table->source().begin.line};
+}
+
+SourceLocation TomlSection::LocationOf(std::string_view key) const {
+  const auto* value = this->node->table->get(key);
+  if (!value)
+    return this->location();
+  return {this->node->file, value->source().begin.line};
+}
+
+std::string TomlSection::PathOf(std::string_view key) const {
+  if (this->path.empty())
+    return std::string(key);
+  return this->path + "." + std::string(key);
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibWire/Forward.h
@@ -0,0 +1,18 @@
+#ifndef LIBWIRE_FORWARD_H_
+#define LIBWIRE_FORWARD_H_
+
+namespace kingcupmill {
+
+class EventLoop;
+class HttpClient;
+class HttpServer;
+class WebSocketClient;
+class WebSocketConnection;
+class WebSocketServer;
+struct HttpRequest;
+struct HttpResponse;
+struct WebSocketHandlers;
+
+}  // namespace kingcupmill
+
+#endif  // LIBWIRE_FORWARD_H_
--- /dev/null
+++ b/Libraries/LibWire/event_loop.h
@@ -0,0 +1,45 @@
+#ifndef LIBWIRE_EVENT_LOOP_H_
+#define LIBWIRE_EVENT_LOOP_H_
+
+#include <memory>
+
+#include "LibCore/scheduler.h"
+
+namespace boost {
+namespace asio {
+class io_context;
+}
+}  // namespace boost
+
+namespace kingcupmill {
+
+// Runs tasks, timers and socket handlers one after another on one thread.
+class EventLoop final : public Scheduler {
+ public:
+  EventLoop();
+  ~EventLoop() override;
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // Starts the loop's thread.
+  void Start();
+
+  // Stops the loop and joins its thread. Pending tasks are dropped.
+  void Stop();
+
+  TimePoint Now() const override;
+  void Post(Task task) override;
+  TimerId PostAfter(Duration delay, Task task) override;
+  void Cancel(TimerId timer) override;
+
+  // The underlying reactor, for the sockets of this library.
+  boost::asio::io_context& context();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBWIRE_EVENT_LOOP_H_
--- /dev/null
+++ b/Libraries/LibWire/http_client.h
@@ -0,0 +1,38 @@
+#ifndef LIBWIRE_HTTP_CLIENT_H_
+#define LIBWIRE_HTTP_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "LibCore/error.h"
+#include "LibCore/time.h"
+#include "LibWire/http_message.h"
+
+namespace kingcupmill {
+
+// Sends HTTP requests to one server with cpprestsdk's client.
+class HttpClient {
+ public:
+  using DidReceive = std::function<void(ValueOrError<HttpResponse>)>;
+
+  // `address` is "IP:port"; a request fails with kTimeout after `timeout`.
+  HttpClient(std::string address, Duration timeout);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Sends a request; `did_receive` is called on a thread of the library.
+  void Send(const HttpRequest& request, DidReceive did_receive);
+
+  // Sends a request and waits for its answer.
+  Result<HttpResponse> SendAndWait(const HttpRequest& request);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBWIRE_HTTP_CLIENT_H_
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs, builds, checks format and lint, and runs all tests with fixed seeds.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Meta/build.sh
+Meta/lint.sh
+export RC_PARAMS="seed=20261204"
+build/kingcupmill-tests
--- /dev/null
+++ b/Utilities/kingcupmill.cc
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/Utilities/kingcupmill_lab.cc
@@ -0,0 +1,105 @@
+// The load and experiment tool.
+
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <map>
+#include <string>
+
+#include "LibLab/experiment.h"
+#include "LibWire/http_server.h"
+
+namespace {
+
+using kingcupmill::Error;
+using kingcupmill::Experiment;
+using kingcupmill::ExperimentOptions;
+using kingcupmill::Milliseconds;
+using kingcupmill::PrimaryFault;
+
+// Exit codes; docs/OPERATING.md lists them.
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitViolations = 3;
+
+constexpr size_t kHttpThreads = 64;
+
+int RunExperiment(const ExperimentOptions& options) {
+  return boost::leaf::try_handle_all(
+      [&]() -> kingcupmill::Result<int> {
+        BOOST_LEAF_AUTO(experiment, Experiment::Create(options));
+        BOOST_LEAF_AUTO(report, experiment->Run());
+        const std::string table = kingcupmill::FormatReportAsTable(report);
+        std::fputs(table.c_str(), stdout);
+        BOOST_LEAF_CHECK(kingcupmill::WriteWholeFile(
+            options.report_path, kingcupmill::FormatReportAsJson(report)));
+        return report.violations.total() == 0 ? kExitOk : kExitViolations;
+      },
+      [](const Error& error) {
+        std::fprintf(stderr, "kingcupmill-lab: %s\n", error.message.c_str());
+        return kExitFailed;
+      },
+      [] {
+        std::fprintf(stderr, "kingcupmill-lab: unknown error\n");
+        return kExitFailed;
+      });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Load and experiment tool of kingcupmill");
+  app.set_version_flag("--version", KINGCUPMILL_VERSION);
+  app.require_subcommand(1);
+  std::string log_level = "warn";
+  app.add_option("--log-level", log_level, "trace to off")
+      ->capture_default_str();
+
+  ExperimentOptions options;
+  int64_t seconds = 10;
+  int64_t lag_ms = 300;
+  CLI::App* run = app.add_subcommand(
+      "run", "Run the embedded system under load and check every answer");
+  run->add_option("--declarations", options.declarations,
+                  "Folder with the arrangement")
+      ->capture_default_str();
+  run->add_option("--vms", options.vm_count, "Proxies")
+      ->check(CLI::Range(1, 200))
+      ->capture_default_str();
+  run->add_option("--sessions", options.session_count, "Concurrent callers")
+      ->check(CLI::Range(1, 2000))
+      ->capture_default_str();
+  run->add_option("--seconds", seconds, "Length of the run")
+      ->check(CLI::Range(1, 86'400))
+      ->capture_default_str();
+  run->add_option("--seed", options.seed, "Seed of the load")
+      ->capture_default_str();
+  run->add_option("--read-percent", options.read_percent,
+                  "Reads per hundred calls")
+      ->check(CLI::Range(0, 100))
+      ->capture_default_str();
+  run->add_option("--lag-ms", lag_ms, "Lag of the replicas")
+      ->check(CLI::Range(0, 60'000))
+      ->capture_default_str();
+  run->add_option("--port-base", options.port_base,
+                  "First loopback port to use")
+      ->capture_default_str();
+  run->add_option("--report", options.report_path, "Where the report goes")
+      ->capture_default_str();
+  const std::map<std::string, PrimaryFault> faults = {
+      {"none", PrimaryFault::kNone},
+      {"kill", PrimaryFault::kKill},
+      {"cut", PrimaryFault::kCut},
+      {"pause", PrimaryFault::kPause}};
+  run->add_option("--fault", options.fault,
+                  "What happens to a primary half-way (default kill)")
+      ->transform(CLI::CheckedTransformer(faults));
+  CLI11_PARSE(app, argc, argv);
+
+  spdlog::set_level(spdlog::level::from_str(log_level));
+  kingcupmill::HttpServer::InitializeThreads(kHttpThreads);
+  options.duration = std::chrono::seconds(seconds);
+  options.replica_lag = Milliseconds(lag_ms);
+  return RunExperiment(options);
+}
