LibConfiguration: Publish arrangements and spread revisions

Cause: proxies were handed their arrangement by the lab.

Change: head row by compare-and-set, immutable blobs by digest, a tracker that never steps back, jittered polls, pulses between proxies with a constant fan-out; agents retire only when idle; the connection share of a home depends on settings alone, since shares that followed the current number of homes exceeded the cap of 16 while VMs joined one by one; abandoned transactions are rolled back after 2 s instead of 10 s, because they hold the write lock.

--- a/Libraries/LibLab/call_record.h
+++ b/Libraries/LibLab/call_record.h
@@ -24,6 +24,8 @@
   Outcome outcome = Outcome::kUnknown;
   TargetName target;
   bool is_from_primary = false;
+  // Why the call did not simply run.
+  std::string message;
   // Reads: what the answer said.
   std::string echo;
   std::string expected_echo;
--- a/Libraries/LibLab/caller_session.cc
+++ b/Libraries/LibLab/caller_session.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Duration kClientTimeout = std::chrono::seconds(10);
 constexpr int64_t kDeadlineMs = 5000;
 constexpr uint64_t kTransactionPercentOfWrites = 10;
 
@@ -27,16 +26,18 @@
 CallerSession::CallerSession(size_t number,
                              GroupName group,
                              ApplicationName application,
-                             std::vector<std::string> proxies,
+                             std::vector<HttpClient*> proxies,
                              const ExperimentOptions& options)
     : number(number),
       group(std::move(group)),
       application(std::move(application)),
+      clients(std::move(proxies)),
       options(options),
-      random(options.seed * 1000 + number) {
-  for (const std::string& address : proxies)
-    this->clients.push_back(
-        std::make_unique<HttpClient>(address, kClientTimeout));
+      random(options.seed * 1000 + number) {}
+
+Duration CallerSession::NextPause() {
+  const auto mean = static_cast<uint64_t>(this->options.think_time.count());
+  return Duration(static_cast<int64_t>(this->random.Below(2 * mean + 1)));
 }
 
 CallRecord CallerSession::MakeCall() {
@@ -72,6 +73,7 @@
   record.finished_at = MonotonicNow();
   record.outcome = answer.outcome;
   record.target = answer.target;
+  record.message = answer.message;
   if (record.outcome == Outcome::kRan)
     this->last_acknowledged = record.sequence;
   return record;
@@ -84,6 +86,7 @@
                       {"deadline_ms", kDeadlineMs}};
   const Answer begun = this->Post("/v1/transactions", begin.dump());
   record.outcome = begun.outcome;
+  record.message = begun.message;
   const std::string path = "/v1/transactions/" + begun.transaction;
   // Both halves of the transfer carry the same number, so that a half that is
   // missing or mixed up shows.
@@ -96,14 +99,18 @@
         {"parameters",
          {static_cast<int64_t>(this->number), record.sequence, sign}},
         {"deadline_ms", kDeadlineMs}};
-    record.outcome = this->Post(path + "/statements", half.dump()).outcome;
+    const Answer executed = this->Post(path + "/statements", half.dump());
+    record.outcome = executed.outcome;
+    record.message = executed.message;
   }
-  if (record.outcome == Outcome::kRan) {
-    const json commit = {{"group", this->group.value},
-                         {"deadline_ms", kDeadlineMs}};
-    const Answer committed = this->Post(path + "/commit", commit.dump());
+  const json end = {{"group", this->group.value}, {"deadline_ms", kDeadlineMs}};
+  if (begun.outcome == Outcome::kRan && record.outcome != Outcome::kRan) {
+    this->Post(path + "/rollback", end.dump());
+  } else if (record.outcome == Outcome::kRan) {
+    const Answer committed = this->Post(path + "/commit", end.dump());
     record.outcome = committed.outcome;
     record.target = committed.target;
+    record.message = committed.message;
   }
   record.finished_at = MonotonicNow();
   return record;
@@ -146,6 +153,7 @@
   record.outcome = answer.outcome;
   record.target = answer.target;
   record.is_from_primary = answer.is_from_primary;
+  record.message = answer.message;
   record.echo = answer.echo;
   record.seen_sequence = answer.number;
   return answer;
@@ -174,6 +182,8 @@
   answer.target.value = parsed.value("target", "");
   answer.is_from_primary = parsed.value("role", "") == "primary";
   answer.transaction = parsed.value("transaction", "");
+  const json error = parsed.value("error", json::object());
+  answer.message = error.value("message", "");
   const json rows = parsed.value("rows", json::array());
   if (!rows.empty() && rows[0].size() == 2) {
     answer.echo = rows[0][0].is_string() ? rows[0][0].get<std::string>() : "";
--- a/Libraries/LibLab/caller_session.h
+++ b/Libraries/LibLab/caller_session.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -21,7 +20,7 @@
   CallerSession(size_t number,
                 GroupName group,
                 ApplicationName application,
-                std::vector<std::string> proxies,
+                std::vector<HttpClient*> proxies,
                 const ExperimentOptions& options);
 
   // Makes one call and waits for its answer.
@@ -30,12 +29,16 @@
   // Makes one write, whatever the mix says.
   CallRecord Write();
 
+  // Returns a random pause before the next call.
+  Duration NextPause();
+
  private:
   struct Answer {
     Outcome outcome = Outcome::kUnknown;
     bool is_from_primary = false;
     TargetName target;
     std::string transaction;
+    std::string message;
     std::string echo;
     int64_t number = 0;
   };
@@ -50,7 +53,7 @@
   size_t number;
   GroupName group;
   ApplicationName application;
-  std::vector<std::unique_ptr<HttpClient>> clients;
+  std::vector<HttpClient*> clients;
   const ExperimentOptions& options;
   SeededRandom random;
   std::string token;
--- a/Libraries/LibLab/experiment.h
+++ b/Libraries/LibLab/experiment.h
@@ -37,8 +37,11 @@
   explicit Experiment(ExperimentOptions options);
   Result<void> Start();
   Result<void> StartProxies();
+  Result<void> PublishArrangement();
+  std::string PlatformAddress() const;
+  Result<void> WaitUntilReady();
   Result<void> CreateTables();
-  std::vector<std::string> ProxyAddresses() const;
+  std::vector<HttpClient*> Clients() const;
   ApplicationName FirstApplication() const;
 
   void RunSessions();
@@ -54,6 +57,7 @@
   Arrangement arrangement;
   std::unique_ptr<StandinHost> standins;
   std::vector<std::unique_ptr<ProxyDaemon>> proxies;
+  std::vector<std::unique_ptr<HttpClient>> clients;
   TargetName broken_target;
 
   std::mutex mutex;
--- a/Libraries/LibLab/experiment_report.cc
+++ b/Libraries/LibLab/experiment_report.cc
@@ -61,6 +61,8 @@
   row("write latency p50 / p99",
       fmt::format("{} / {} us", report.write_p50.count(),
                   report.write_p99.count()));
+  for (const auto& [reason, count] : report.reasons)
+    text += fmt::format("  {:>6} x {}\n", count, reason);
   return text;
 }
 
--- a/Libraries/LibLab/experiment_report.h
+++ b/Libraries/LibLab/experiment_report.h
@@ -2,6 +2,7 @@
 #define LIBLAB_EXPERIMENT_REPORT_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
   };
   Violations violations;
 
+  // How often callers were told each reason.
+  std::map<std::string, uint64_t> reasons;
+
   uint64_t reads = 0;
   uint64_t replica_reads = 0;
   std::vector<Duration> failover_gaps;
--- /dev/null
+++ b/Libraries/LibPlatform/http_platform_client.cc
@@ -0,0 +1,166 @@
+#include "LibPlatform/http_platform_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "LibPlatform/vm_json.h"
+#include "LibWire/http_client.h"
+
+namespace kingcupmill {
+
+using nlohmann::json;
+
+namespace {
+
+HttpRequest MakeRequest(const char* method, std::string path) {
+  HttpRequest request;
+  request.method = method;
+  request.path = std::move(path);
+  return request;
+}
+
+HttpRequest RowRequest(std::string_view key) {
+  return MakeRequest("GET", "/table/" + std::string(key));
+}
+
+HttpRequest RowWriteRequest(std::string_view key,
+                            std::string_view value,
+                            uint64_t expected) {
+  HttpRequest request = MakeRequest("PUT", "/table/" + std::string(key));
+  request.query = "expected=" + std::to_string(expected);
+  request.body = json{{"value", value}}.dump();
+  return request;
+}
+
+HttpRequest BlobRequest(std::string_view digest) {
+  return MakeRequest("GET", "/blobs/" + std::string(digest));
+}
+
+boost::leaf::error_id UnexpectedStatus(const HttpResponse& response) {
+  return Fail(ErrorCode::kUnavailable, "the platform answered with status " +
+                                           std::to_string(response.status));
+}
+
+Result<PlatformRow> DecodeRow(const HttpResponse& response) {
+  if (response.status == 404)
+    return PlatformRow{};
+  if (response.status != 200)
+    return UnexpectedStatus(response);
+  const json body = json::parse(response.body, nullptr, false);
+  if (!body.is_object() || !body.contains("value") ||
+      !body["value"].is_string() || !body.contains("version") ||
+      !body["version"].is_number_unsigned()) {
+    return Fail(ErrorCode::kInvalidInput, "the platform's row is malformed");
+  }
+  return PlatformRow{body["value"].get<std::string>(),
+                     body["version"].get<uint64_t>()};
+}
+
+Result<WriteOutcome> DecodeWrite(const HttpResponse& response) {
+  if (response.status == 200)
+    return WriteOutcome::kWritten;
+  if (response.status == 409)
+    return WriteOutcome::kConflict;
+  return UnexpectedStatus(response);
+}
+
+Result<std::string> DecodeBlob(const HttpResponse& response) {
+  if (response.status == 404)
+    return Fail(ErrorCode::kNotFound, "the platform has no such blob");
+  if (response.status != 200)
+    return UnexpectedStatus(response);
+  return response.body;
+}
+
+Result<std::vector<VmRecord>> DecodeVms(const HttpResponse& response) {
+  if (response.status != 200)
+    return UnexpectedStatus(response);
+  try {
+    return json::parse(response.body).get<std::vector<VmRecord>>();
+  } catch (const json::exception& exception) {
+    return Fail(ErrorCode::kInvalidInput, exception.what());
+  }
+}
+
+// Sends a request and decodes its answer on the library's thread.
+template <typename T, typename Decode>
+void SendLater(HttpClient& client,
+               const HttpRequest& request,
+               Decode decode,
+               HttpPlatformClient::Did<T> did) {
+  client.Send(request, [decode, did = std::move(did)](
+                           const ValueOrError<HttpResponse>& outcome) {
+    if (const auto* error = std::get_if<Error>(&outcome))
+      return did(*error);
+    const auto& response = std::get<HttpResponse>(outcome);
+    did(Capture([&] { return decode(response); }));
+  });
+}
+
+}  // namespace
+
+HttpPlatformClient::HttpPlatformClient(std::string address, Duration timeout)
+    : client(std::make_unique<HttpClient>(std::move(address), timeout)) {}
+
+HttpPlatformClient::~HttpPlatformClient() = default;
+
+Result<PlatformRow> HttpPlatformClient::ReadRow(std::string_view key) {
+  BOOST_LEAF_AUTO(response, this->client->SendAndWait(RowRequest(key)));
+  return DecodeRow(response);
+}
+
+Result<WriteOutcome> HttpPlatformClient::WriteRow(std::string_view key,
+                                                  std::string_view value,
+                                                  uint64_t expected) {
+  BOOST_LEAF_AUTO(response, this->client->SendAndWait(
+                                RowWriteRequest(key, value, expected)));
+  return DecodeWrite(response);
+}
+
+Result<std::string> HttpPlatformClient::ReadBlob(std::string_view digest) {
+  BOOST_LEAF_AUTO(response, this->client->SendAndWait(BlobRequest(digest)));
+  return DecodeBlob(response);
+}
+
+Result<void> HttpPlatformClient::WriteBlob(std::string_view digest,
+                                           std::string_view text) {
+  HttpRequest request = MakeRequest("PUT", "/blobs/" + std::string(digest));
+  request.body = std::string(text);
+  BOOST_LEAF_AUTO(response, this->client->SendAndWait(request));
+  if (response.status != 200)
+    return UnexpectedStatus(response);
+  return {};
+}
+
+Result<std::vector<VmRecord>> HttpPlatformClient::ListVms() {
+  BOOST_LEAF_AUTO(response,
+                  this->client->SendAndWait(MakeRequest("GET", "/vms")));
+  return DecodeVms(response);
+}
+
+void HttpPlatformClient::ReadRowLater(std::string_view key,
+                                      Did<PlatformRow> did) {
+  SendLater<PlatformRow>(*this->client, RowRequest(key), DecodeRow,
+                         std::move(did));
+}
+
+void HttpPlatformClient::WriteRowLater(std::string_view key,
+                                       std::string_view value,
+                                       uint64_t expected,
+                                       Did<WriteOutcome> did) {
+  SendLater<WriteOutcome>(*this->client, RowWriteRequest(key, value, expected),
+                          DecodeWrite, std::move(did));
+}
+
+void HttpPlatformClient::ReadBlobLater(std::string_view digest,
+                                       Did<std::string> did) {
+  SendLater<std::string>(*this->client, BlobRequest(digest), DecodeBlob,
+                         std::move(did));
+}
+
+void HttpPlatformClient::ListVmsLater(Did<std::vector<VmRecord>> did) {
+  SendLater<std::vector<VmRecord>>(*this->client, MakeRequest("GET", "/vms"),
+                                   DecodeVms, std::move(did));
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibProxy/peer_message.cc
+++ b/Libraries/LibProxy/peer_message.cc
@@ -35,27 +35,67 @@
   return encoded;
 }
 
+void AppendRevision(json& encoded, const RevisionName& revision) {
+  encoded.push_back(revision.revision.value);
+  encoded.push_back(revision.digest);
+}
+
+// Reads a revision from two elements, the first at `index`.
+RevisionName DecodeRevision(const json& encoded, size_t index) {
+  return RevisionName{Revision{encoded.at(index).get<uint64_t>()},
+                      encoded.at(index + 1).get<std::string>()};
+}
+
 json EncodeBody(const PulseMessage& message) {
   json encoded = Encode(MessageType::kPulse, message.number);
+  AppendRevision(encoded, message.revision);
   encoded.push_back(message.sender.value);
-  encoded.push_back(message.revision.value);
   encoded.push_back(message.is_answer);
   return encoded;
 }
 
 json EncodeBody(const FetchMessage& message) {
-  json encoded = Encode(MessageType::kFetch, message.number);
-  encoded.push_back(message.revision.value);
-  return encoded;
+  return Encode(MessageType::kFetch, message.number);
 }
 
 json EncodeBody(const ArrangementMessage& message) {
   json encoded = Encode(MessageType::kArrangement, message.number);
-  encoded.push_back(message.revision.value);
+  AppendRevision(encoded, message.revision);
   encoded.push_back(message.text);
+  json members = json::array();
+  for (const Member& member : message.members) {
+    members.push_back({member.vm.value, member.place.value, member.peer_address,
+                       member.state == VmState::kLeaving});
+  }
+  encoded.push_back(std::move(members));
   return encoded;
 }
 
+PulseMessage DecodePulse(uint64_t number, const json& encoded) {
+  PulseMessage message;
+  message.number = number;
+  message.revision = DecodeRevision(encoded, 2);
+  encoded.at(4).get_to(message.sender.value);
+  encoded.at(5).get_to(message.is_answer);
+  return message;
+}
+
+ArrangementMessage DecodeArrangement(uint64_t number, const json& encoded) {
+  ArrangementMessage message;
+  message.number = number;
+  message.revision = DecodeRevision(encoded, 2);
+  encoded.at(4).get_to(message.text);
+  for (const json& item : encoded.at(5)) {
+    Member member;
+    item.at(0).get_to(member.vm.value);
+    item.at(1).get_to(member.place.value);
+    item.at(2).get_to(member.peer_address);
+    member.state = item.at(3).get<bool>() ? VmState::kLeaving : VmState::kLive;
+    message.members.push_back(std::move(member));
+  }
+  return message;
+}
+
 Result<PeerMessage> DecodeBody(const json& encoded) {
   const auto number = encoded.at(1).get<uint64_t>();
   switch (static_cast<MessageType>(encoded.at(0).get<uint64_t>())) {
@@ -68,16 +108,11 @@
       return PeerMessage(AnswerMessage{number, std::move(answer)});
     }
     case MessageType::kPulse:
-      return PeerMessage(PulseMessage{
-          number, VmName{encoded.at(2).get<std::string>()},
-          Revision{encoded.at(3).get<uint64_t>()}, encoded.at(4).get<bool>()});
+      return PeerMessage(DecodePulse(number, encoded));
     case MessageType::kFetch:
-      return PeerMessage(
-          FetchMessage{number, Revision{encoded.at(2).get<uint64_t>()}});
+      return PeerMessage(FetchMessage{number});
     case MessageType::kArrangement:
-      return PeerMessage(
-          ArrangementMessage{number, Revision{encoded.at(2).get<uint64_t>()},
-                             encoded.at(3).get<std::string>()});
+      return PeerMessage(DecodeArrangement(number, encoded));
   }
   return Fail(ErrorCode::kInvalidInput, "unknown message type");
 }
--- a/Libraries/LibProxy/peer_message.h
+++ b/Libraries/LibProxy/peer_message.h
@@ -7,8 +7,10 @@
 #include <variant>
 #include <vector>
 
+#include "LibConfiguration/revision_tracker.h"
 #include "LibCore/error.h"
 #include "LibCore/names.h"
+#include "LibMembership/member.h"
 #include "LibRequests/client_answer.h"
 #include "LibRequests/client_request.h"
 
@@ -31,21 +33,21 @@
 struct PulseMessage {
   uint64_t number = 0;
   VmName sender;
-  Revision revision;
+  RevisionName revision;
   bool is_answer = false;
 };
 
-// Asks for the text of a revision.
+// Asks for the arrangement that the other end has in force.
 struct FetchMessage {
   uint64_t number = 0;
-  Revision revision;
 };
 
-// A revision and its text; an empty text when the sender does not have it.
+// The arrangement that the sender has in force, and the entry VMs it knows.
 struct ArrangementMessage {
   uint64_t number = 0;
-  Revision revision;
+  RevisionName revision;
   std::string text;
+  std::vector<Member> members;
 };
 
 using PeerMessage = std::variant<ForwardMessage,
--- a/Libraries/LibProxy/peer_network.h
+++ b/Libraries/LibProxy/peer_network.h
@@ -3,8 +3,11 @@
 
 #include <functional>
 #include <variant>
+#include <vector>
 
 #include "LibCore/names.h"
+#include "LibMembership/member.h"
+#include "LibProxy/peer_message.h"
 #include "LibRequests/client_answer.h"
 #include "LibRequests/client_request.h"
 
@@ -31,6 +34,12 @@
                        ClientRequest request,
                        DidAnswer did_answer) = 0;
 
+  // Sends a control message; it may get lost.
+  virtual void Send(const VmName& to, const PeerMessage& message) = 0;
+
+  // Takes the addresses of the other proxies.
+  virtual void SetMembers(const std::vector<Member>& members) = 0;
+
   // Whether `vm` answered lately, as far as this proxy knows.
   virtual bool is_reachable(const VmName& vm) const = 0;
 };
--- /dev/null
+++ b/Libraries/LibProxy/platform_link.h
@@ -0,0 +1,34 @@
+#ifndef LIBPROXY_PLATFORM_LINK_H_
+#define LIBPROXY_PLATFORM_LINK_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/error.h"
+#include "LibPlatform/platform_row.h"
+#include "LibPlatform/vm_record.h"
+
+namespace kingcupmill {
+
+// The platform's service as a proxy uses it. Callbacks run on the proxy's own
+// scheduler; a call that the platform does not answer ends with an error.
+class PlatformLink {
+ public:
+  template <typename T>
+  using Did = std::function<void(ValueOrError<T>)>;
+
+  virtual ~PlatformLink() = default;
+  virtual void ReadRow(std::string_view key, Did<PlatformRow> did) = 0;
+  virtual void WriteRow(std::string_view key,
+                        std::string_view value,
+                        uint64_t expected,
+                        Did<WriteOutcome> did) = 0;
+  virtual void ReadBlob(std::string_view digest, Did<std::string> did) = 0;
+  virtual void ListVms(Did<std::vector<VmRecord>> did) = 0;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBPROXY_PLATFORM_LINK_H_
--- a/Libraries/LibProxy/proxy_core.cc
+++ b/Libraries/LibProxy/proxy_core.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// How often agents that are no longer wanted are looked at.
+constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
 constexpr Duration kForwardRetryDelay = std::chrono::milliseconds(20);
 
 std::string JoinVms(std::span<const VmName> vms) {
@@ -75,8 +77,7 @@
 }
 
 GroupOptions ProxyCore::OptionsFor(const GroupName& name,
-                                   const Group& group,
-                                   size_t home_count) const {
+                                   const Group& group) const {
   GroupOptions group_options = this->options.group;
   group_options.group = name;
   group_options.members = group.targets;
@@ -85,8 +86,11 @@
   int64_t budget = INT64_MAX;
   for (const TargetName& target : group.targets)
     budget = std::min(budget, this->in_force.targets.at(target).connections);
-  // One share stays free, so that a home that joins before another one has
-  // left does not exceed the budget.
+  // The share depends only on settings and the arrangement, because proxies may
+  // disagree for a while on how many homes there are. One share stays free for
+  // a home that joins before another one has left.
+  const size_t home_count =
+      std::max(this->options.home_count, this->PlacesOf(group).size());
   const int64_t share = budget / static_cast<int64_t>(home_count + 1);
   const int64_t work = std::clamp<int64_t>(
       share - 1, 1,
@@ -114,12 +118,14 @@
         existing.mapped()->options().members == group.targets) {
       agent = std::move(existing.mapped());
     } else {
+      if (!existing.empty())
+        this->Retire(std::move(existing.mapped()));
       this->log.Write(DecisionLog::Frequency::kRare, "place_home", name.value,
                       this->options.vm.value, JoinVms(group_homes),
                       "chosen by rendezvous hashing");
       agent = std::make_unique<GroupAgent>(
           this->scheduler, this->connector, this->log, this->random,
-          this->OptionsFor(name, group, group_homes.size()),
+          this->OptionsFor(name, group),
           [this, name](const RecordPrimary& record) {
             this->did_promote(name, record);
           });
@@ -133,11 +139,41 @@
     }
     agent->monitor().SetLocal(std::move(local));
   }
-  // FIXME: an agent that is dropped here loses the requests it has in flight;
-  // it should finish them first.
+  for (auto& [name, agent] : this->agents) {
+    if (agent)
+      this->Retire(std::move(agent));
+  }
   this->agents = std::move(kept);
 }
 
+void ProxyCore::Retire(std::unique_ptr<GroupAgent> agent) {
+  this->log.Write(DecisionLog::Frequency::kRare, "retire_home",
+                  agent->options().group.value, this->options.vm.value, "",
+                  "no longer chosen");
+  if (this->retired_agents.empty()) {
+    this->scheduler.PostAfter(kSweepInterval,
+                              [this, life = std::weak_ptr<bool>(this->life)] {
+                                const auto alive = life.lock();
+                                if (alive && *alive)
+                                  this->SweepRetired();
+                              });
+  }
+  this->retired_agents.push_back(std::move(agent));
+}
+
+void ProxyCore::SweepRetired() {
+  std::erase_if(this->retired_agents,
+                [](const auto& agent) { return agent->is_idle(); });
+  if (this->retired_agents.empty())
+    return;
+  this->scheduler.PostAfter(kSweepInterval,
+                            [this, life = std::weak_ptr<bool>(this->life)] {
+                              const auto alive = life.lock();
+                              if (alive && *alive)
+                                this->SweepRetired();
+                            });
+}
+
 void ProxyCore::Handle(ClientRequest request, Reply reply) {
   const auto application =
       this->in_force.applications.find(request.application);
@@ -166,13 +202,25 @@
 }
 
 void ProxyCore::HandleForwarded(ClientRequest request, Reply reply) {
-  const auto agent = this->agents.find(request.group);
-  if (agent == this->agents.end()) {
+  GroupAgent* agent = this->FindAgentOf(request);
+  if (!agent) {
     // The sender's view differs; it tries another home. Saying so is only true
     // because nothing has been sent to a target.
     return reply(NotRun(ClientError::kNotHome, "not a home of the group"));
   }
-  agent->second->Handle(std::move(request), this->Counted(std::move(reply)));
+  agent->Handle(std::move(request), this->Counted(std::move(reply)));
+}
+
+GroupAgent* ProxyCore::FindAgentOf(const ClientRequest& request) {
+  const bool is_bound = !request.transaction.value.empty();
+  for (const auto& agent : this->retired_agents) {
+    if (is_bound && agent->options().group == request.group &&
+        agent->transactions().has(request.transaction)) {
+      return agent.get();
+    }
+  }
+  const auto agent = this->agents.find(request.group);
+  return agent == this->agents.end() ? nullptr : agent->second.get();
 }
 
 Reply ProxyCore::Counted(Reply reply) {
@@ -189,15 +237,15 @@
 void ProxyCore::Route(ClientRequest request, Reply reply) {
   const VmName transaction_home = HomeOf(request.transaction);
   const bool is_bound = !request.transaction.value.empty();
-  const auto agent = this->agents.find(request.group);
   const bool is_local = is_bound ? transaction_home == this->options.vm
-                                 : agent != this->agents.end();
+                                 : this->agents.contains(request.group);
   if (is_local) {
-    if (agent == this->agents.end()) {
+    GroupAgent* local = this->FindAgentOf(request);
+    if (!local) {
       return reply(NotRun(ClientError::kNoSuchTransaction,
                           "the transaction has ended or never existed"));
     }
-    return agent->second->Handle(std::move(request), std::move(reply));
+    return local->Handle(std::move(request), std::move(reply));
   }
   auto flow = std::make_shared<ForwardFlow>();
   flow->deadline = this->scheduler.Now() + request.time_left;
@@ -329,12 +377,16 @@
 void ProxyCore::FinishDraining() {
   for (auto& [group, agent] : this->agents)
     agent->transactions().RollbackAll();
+  for (auto& agent : this->retired_agents)
+    agent->transactions().RollbackAll();
 }
 
 size_t ProxyCore::open_transactions() const {
   size_t count = 0;
   for (const auto& [group, agent] : this->agents)
     count += agent->transactions().open_count();
+  for (const auto& agent : this->retired_agents)
+    count += agent->transactions().open_count();
   return count;
 }
 
--- a/Libraries/LibProxy/proxy_core.h
+++ b/Libraries/LibProxy/proxy_core.h
@@ -70,9 +70,12 @@
   using FlowPointer = std::shared_ptr<ForwardFlow>;
 
   void Rebuild();
-  GroupOptions OptionsFor(const GroupName& name,
-                          const Group& group,
-                          size_t home_count) const;
+  // Lets an agent that is no longer wanted finish what it has in flight.
+  void Retire(std::unique_ptr<GroupAgent> agent);
+  void SweepRetired();
+  // Returns the agent that holds a transaction of this proxy, or null.
+  GroupAgent* FindAgentOf(const ClientRequest& request);
+  GroupOptions OptionsFor(const GroupName& name, const Group& group) const;
   std::set<PlaceName> PlacesOf(const Group& group) const;
 
   void Route(ClientRequest request, Reply reply);
@@ -93,6 +96,7 @@
   std::vector<Member> members;
   std::set<TargetName> leaving_targets;
   std::map<GroupName, std::unique_ptr<GroupAgent>> agents;
+  std::vector<std::unique_ptr<GroupAgent>> retired_agents;
   std::map<GroupName, std::vector<VmName>> homes;
   size_t requests_in_flight = 0;
   bool draining = false;
--- a/Libraries/LibProxy/proxy_daemon.cc
+++ b/Libraries/LibProxy/proxy_daemon.cc
@@ -10,6 +10,20 @@
 
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
 
+ControlAgent::Options ControlOptions(const ProxySettings& settings) {
+  ControlAgent::Options options;
+  options.vm = settings.options.vm;
+  options.poll_interval = settings.platform_poll_interval;
+  options.pulse_interval = settings.pulse_interval;
+  for (const std::string& address : settings.seed_peers) {
+    Member member;
+    member.vm.value = address;
+    member.peer_address = address;
+    options.seeds.push_back(std::move(member));
+  }
+  return options;
+}
+
 }  // namespace
 
 Result<std::unique_ptr<ProxyDaemon>> ProxyDaemon::Create(ProxySettings settings,
@@ -32,19 +46,44 @@
           [this](ClientRequest request, Reply reply) {
             this->core.HandleForwarded(std::move(request), std::move(reply));
           },
-          [](const PeerMessage&, const SocketPeerNetwork::Answer&) {}),
+          [this](const PeerMessage& message,
+                 const SocketPeerNetwork::Answer& answer) {
+            this->control.DidReceive(message, answer);
+          }),
       core(this->loop,
            this->connector,
            this->peers,
            this->log,
            seed,
            this->proxy_settings.options,
-           [](const GroupName&, const RecordPrimary&) {}),
-      callers(std::move(codec),
+           [this](const GroupName& group, const RecordPrimary& record) {
+             this->control.Record(group, record);
+           }),
+      platform(this->loop,
+               this->proxy_settings.platform_address,
+               this->proxy_settings.platform_timeout),
+      control(this->loop,
+              this->platform,
+              this->peers,
+              this->core,
+              this->log,
               seed + 1,
+              ControlOptions(this->proxy_settings),
+              [this](const Arrangement& arrangement) {
+                this->connector.SetTargets(arrangement.targets);
+              }),
+      callers(std::move(codec),
+              seed + 2,
               [this](ClientRequest request, Reply reply) {
-                this->core.Handle(std::move(request), std::move(reply));
-              }) {}
+                this->Execute(std::move(request), std::move(reply));
+              }),
+      admin(this->loop,
+            this->proxy_settings,
+            this->core,
+            this->control,
+            this->metrics,
+            this->peers,
+            [this] { this->StartDraining(); }) {}
 
 ProxyDaemon::~ProxyDaemon() {
   // Requests reach the loop through the HTTP server, so it goes first.
@@ -66,17 +105,6 @@
   return {};
 }
 
-void ProxyDaemon::Adopt(Arrangement arrangement, std::vector<Member> members) {
-  this->loop.Post([this, arrangement = std::move(arrangement),
-                   members = std::move(members)]() mutable {
-    this->connector.SetTargets(arrangement.targets);
-    this->peers.SetMembers(members);
-    this->core.SetMembers(std::move(members));
-    this->core.AdoptArrangement(std::move(arrangement));
-    this->has_arrangement = true;
-  });
-}
-
 void ProxyDaemon::HandleHttp(HttpRequest request, HttpServer::Reply reply) {
   this->loop.Post(
       [this, request = std::move(request), reply = std::move(reply)] {
@@ -86,8 +114,8 @@
 
 void ProxyDaemon::HandleOnLoop(const HttpRequest& request,
                                const HttpServer::Reply& reply) {
-  if (request.path == "/health")
-    return reply(this->Health());
+  if (AdminInterface::is_responsible(request.path))
+    return reply(this->admin.Handle(request));
   if (CallerInterface::is_responsible(request.path))
     return this->callers.Handle(request, reply);
   HttpResponse response;
@@ -97,18 +125,15 @@
   reply(std::move(response));
 }
 
-HttpResponse ProxyDaemon::Health() const {
-  HttpResponse response;
-  if (this->core.is_draining()) {
-    response.status = 503;
-    response.body = R"({"status":"draining"})";
-  } else if (!this->has_arrangement) {
-    response.status = 503;
-    response.body = R"({"status":"without_configuration"})";
-  } else {
-    response.body = R"({"status":"ready"})";
-  }
-  return response;
+void ProxyDaemon::Execute(ClientRequest request, Reply reply) {
+  const ClientOperation operation = request.operation;
+  const TimePoint started_at = this->loop.Now();
+  this->core.Handle(std::move(request), [this, operation, started_at,
+                                         reply = std::move(reply)](
+                                            ClientAnswer answer) {
+    this->metrics.DidFinish(operation, answer, this->loop.Now() - started_at);
+    reply(std::move(answer));
+  });
 }
 
 void ProxyDaemon::StartDraining() {
--- a/Libraries/LibProxy/proxy_daemon.h
+++ b/Libraries/LibProxy/proxy_daemon.h
@@ -3,13 +3,15 @@
 
 #include <atomic>
 #include <memory>
-#include <vector>
 
-#include "LibArrangement/arrangement.h"
 #include "LibCore/decision_log.h"
 #include "LibCore/error.h"
+#include "LibProxy/admin_interface.h"
 #include "LibProxy/caller_interface.h"
+#include "LibProxy/control_agent.h"
+#include "LibProxy/http_platform_link.h"
 #include "LibProxy/proxy_core.h"
+#include "LibProxy/proxy_metrics.h"
 #include "LibProxy/proxy_settings.h"
 #include "LibProxy/socket_peer_network.h"
 #include "LibProxy/socket_target_connector.h"
@@ -30,9 +32,6 @@
   ProxyDaemon(const ProxyDaemon&) = delete;
   ProxyDaemon& operator=(const ProxyDaemon&) = delete;
 
-  // Puts an arrangement and a view of the VMs in force.
-  void Adopt(Arrangement arrangement, std::vector<Member> members);
-
   // Starts to drain; is_drained() turns true when the process may end.
   void StartDraining();
   bool is_drained() const { return this->drained; }
@@ -44,7 +43,7 @@
   Result<void> Start();
   void HandleHttp(HttpRequest request, HttpServer::Reply reply);
   void HandleOnLoop(const HttpRequest& request, const HttpServer::Reply& reply);
-  HttpResponse Health() const;
+  void Execute(ClientRequest request, Reply reply);
   void ContinueDraining(TimePoint limit);
 
   ProxySettings proxy_settings;
@@ -53,9 +52,12 @@
   SocketTargetConnector connector;
   SocketPeerNetwork peers;
   ProxyCore core;
+  HttpPlatformLink platform;
+  ControlAgent control;
+  ProxyMetrics metrics;
   CallerInterface callers;
+  AdminInterface admin;
   std::unique_ptr<HttpServer> http;
-  bool has_arrangement = false;
   std::atomic<bool> drained = false;
 };
 
--- a/Libraries/LibProxy/proxy_settings.cc
+++ b/Libraries/LibProxy/proxy_settings.cc
@@ -102,6 +102,9 @@
   settings.platform_poll_interval = root.DurationInMilliseconds(
       "platform_poll_interval_ms", settings.platform_poll_interval,
       {10, 60'000});
+  settings.pulse_interval = root.DurationInMilliseconds(
+      "pulse_interval_ms", settings.pulse_interval, {10, 60'000});
+  settings.seed_peers = root.Strings("seed_peers");
   settings.platform_timeout = root.DurationInMilliseconds(
       "platform_timeout_ms", settings.platform_timeout, {10, 60'000});
   settings.maximum_body_bytes = static_cast<size_t>(root.Integer(
--- a/Libraries/LibProxy/proxy_settings.h
+++ b/Libraries/LibProxy/proxy_settings.h
@@ -25,6 +25,9 @@
   std::string log_level = "info";
   LogFormat log_format = LogFormat::kText;
   Duration platform_poll_interval = std::chrono::milliseconds(1000);
+  Duration pulse_interval = std::chrono::milliseconds(1000);
+  // Peer addresses for a start while the platform is down.
+  std::vector<std::string> seed_peers;
   Duration platform_timeout = std::chrono::milliseconds(1500);
   // After SIGTERM: how long the balancer gets to notice, and how long open
   // transactions get to end.
--- a/Libraries/LibProxy/socket_peer_network.h
+++ b/Libraries/LibProxy/socket_peer_network.h
@@ -37,15 +37,14 @@
   Result<uint16_t> Listen(const std::string& address);
 
   // Takes the addresses of the other proxies.
-  void SetMembers(const std::vector<Member>& members);
+  void SetMembers(const std::vector<Member>& members) override;
 
   void Forward(const VmName& to,
                ClientRequest request,
                DidAnswer did_answer) override;
   bool is_reachable(const VmName& vm) const override;
 
-  // Sends a message that is not a forward on the link to `to`.
-  void Send(const VmName& to, const PeerMessage& message);
+  void Send(const VmName& to, const PeerMessage& message) override;
 
   // Bytes of control messages, without forwards and their answers.
   uint64_t control_bytes() const { return this->control_byte_count; }
--- a/Libraries/LibRequests/group_agent.cc
+++ b/Libraries/LibRequests/group_agent.cc
@@ -44,7 +44,18 @@
                                                [this] { this->Tick(); });
 }
 
-void GroupAgent::Handle(ClientRequest request, Reply reply) {
+bool GroupAgent::is_idle() const {
+  return *this->requests_in_flight == 0 &&
+         this->transaction_table.open_count() == 0;
+}
+
+void GroupAgent::Handle(ClientRequest request, Reply caller_reply) {
+  ++*this->requests_in_flight;
+  Reply reply = [count = this->requests_in_flight,
+                 caller_reply = std::move(caller_reply)](ClientAnswer answer) {
+    --*count;
+    caller_reply(std::move(answer));
+  };
   switch (request.operation) {
     case ClientOperation::kRead:
       return this->read_executor.Execute(std::move(request), std::move(reply));
--- a/Libraries/LibRequests/group_agent.h
+++ b/Libraries/LibRequests/group_agent.h
@@ -28,6 +28,9 @@
 
   void Handle(ClientRequest request, Reply reply);
 
+  // Whether no request is in flight and no transaction is open.
+  bool is_idle() const;
+
   GroupMonitor& monitor() { return this->group_monitor; }
   const GroupMonitor& monitor() const { return this->group_monitor; }
   const ReadExecutor& reads() const { return this->read_executor; }
@@ -44,6 +47,8 @@
   ReadExecutor read_executor;
   TransactionTable transaction_table;
   Scheduler::TimerId tick_timer = 0;
+  // Shared with replies, which may be given while this agent is destroyed.
+  std::shared_ptr<size_t> requests_in_flight = std::make_shared<size_t>(0);
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibRequests/group_options.h
+++ b/Libraries/LibRequests/group_options.h
@@ -45,7 +45,7 @@
   Duration fast_probe_interval = std::chrono::milliseconds(10);
   // An interactive transaction without a statement for this long is rolled
   // back, because it holds the write lock.
-  Duration transaction_idle_limit = std::chrono::seconds(10);
+  Duration transaction_idle_limit = std::chrono::seconds(2);
   std::set<Guard> disabled_guards;
 
   bool is_enabled(Guard guard) const {
--- a/Libraries/LibRequests/target_pool.h
+++ b/Libraries/LibRequests/target_pool.h
@@ -40,7 +40,7 @@
     std::string client_name;
     size_t work_connections = 2;
     // How long a sent request may go unanswered, at the most.
-    Duration attempt_timeout = std::chrono::milliseconds(1000);
+    Duration attempt_timeout = std::chrono::milliseconds(1500);
     Duration open_timeout = std::chrono::milliseconds(500);
     Duration reopen_delay = std::chrono::milliseconds(50);
     // Idle connections are tested this often.
--- a/Libraries/LibRequests/transaction_table.h
+++ b/Libraries/LibRequests/transaction_table.h
@@ -42,6 +42,10 @@
   // Rolls back transactions that have been idle for too long.
   void Tick();
 
+  bool has(const TransactionId& id) const {
+    return this->transactions.contains(id);
+  }
+
   size_t open_count() const { return this->transactions.size(); }
 
  private:
--- a/Libraries/LibStandins/standin_host.h
+++ b/Libraries/LibStandins/standin_host.h
@@ -4,10 +4,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "LibArrangement/arrangement.h"
 #include "LibCore/error.h"
+#include "LibStandins/platform_server.h"
 #include "LibStandins/standin_network.h"
 #include "LibStandins/standin_target.h"
 #include "LibStandins/target_listener.h"
@@ -24,6 +26,8 @@
     Duration replica_lag = Duration(0);
     Duration connect_time = std::chrono::milliseconds(12);
     Duration service_time = Duration(300);
+    // Where the platform stand-in listens, "IP:port".
+    std::string platform_address;
   };
 
   // Listens on the addresses of the arrangement's targets. Fails when one is
@@ -41,6 +45,7 @@
 
   StandinNetwork& network() { return this->standin_network; }
   StandinTarget& target(const TargetName& name);
+  PlatformServer& platform() { return *this->platform_server; }
   // Returns the name of the group's current primary; empty when it has none.
   TargetName PrimaryOf(const Group& group);
 
@@ -53,6 +58,7 @@
   StandinNetwork standin_network;
   std::map<TargetName, std::unique_ptr<StandinTarget>> targets;
   std::vector<std::unique_ptr<TargetListener>> listeners;
+  std::unique_ptr<PlatformServer> platform_server;
 };
 
 }  // namespace kingcupmill
