LibLab: Prove the promises under random faults on virtual time

Cause: nothing broke the promises on purpose.

Change: whole proxies without sockets under a virtual scheduler, faults alone and in pairs, a history check, a switch for each protection. Stand-in targets close connections that have been idle for 5 s and restart a conflicting log from what is confirmed; a hand-over needs a replica that follows, and waits 1 s between attempts.

--- a/Libraries/LibFailover/promoter.h
+++ b/Libraries/LibFailover/promoter.h
@@ -18,8 +18,13 @@
 
 namespace kingcupmill {
 
+// How many targets must grant a term before one of them leads it. A single
+// grant is unsafe and exists only to show that the majority is needed.
+enum class SealQuorum { kMajority, kSingle };
+
 // Settings of failure detection and promotion.
 struct PromoterOptions {
+  SealQuorum seal_quorum = SealQuorum::kMajority;
   // Bounds of the silence of a primary after which replicas count it as lost.
   AdaptiveTimeout::Options silence;
   // A primary that this proxy cannot reach for this long is replaced even
@@ -35,6 +40,8 @@
   Duration backoff = std::chrono::milliseconds(150);
   // How long a leaving primary refuses writes while a replica catches up.
   Duration hold = std::chrono::milliseconds(250);
+  // The time between two attempts to replace a leaving primary.
+  Duration hand_over_interval = std::chrono::milliseconds(1000);
   // The time between the hold's answer and the seal.
   Duration hold_settle = std::chrono::milliseconds(8);
 };
@@ -110,7 +117,9 @@
       return {};
     }
     this->grants[target] = status.last_entry;
-    if (this->grants.size() < view.majority())
+    const bool needs_majority =
+        this->options.seal_quorum == SealQuorum::kMajority;
+    if (this->grants.size() < (needs_majority ? view.majority() : 1))
       return {};
     this->phase = Phase::kLeading;
     this->until = now + this->options.lead_timeout;
@@ -141,6 +150,9 @@
   Duration silence_limit() const { return this->silence.timeout(); }
 
  private:
+  // The entries that a replica may lack when a hand-over to it begins.
+  static constexpr uint64_t kMaximumHandOverBacklog = 1000;
+
   enum class Phase { kWatching, kWaiting, kHolding, kSealing, kLeading };
 
   // Learns from healthy groups how long replicas usually go without hearing
@@ -194,15 +206,32 @@
     const bool has_successor =
         std::any_of(view.members().begin(), view.members().end(),
                     [&](const TargetName& member) {
-                      const auto* observation = view.Find(member);
-                      return observation && observation->is_reachable &&
-                             !leaving.contains(member);
+                      return !leaving.contains(member) &&
+                             this->is_following(view, *primary, member);
                     });
-    if (leaving.contains(primary->target) && has_successor)
+    if (leaving.contains(primary->target) && has_successor &&
+        now >= this->next_hand_over_at) {
       return PromotionReason::kPrimaryLeaving;
+    }
     return PromotionReason::kNone;
   }
 
+  // Whether `member` hears the primary and holds nearly all of its log, so that
+  // it catches up while writes are held.
+  bool is_following(const GroupView& view,
+                    const PrimaryView& primary,
+                    const TargetName& member) const {
+    const auto* observation = view.Find(member);
+    const auto* leader = view.Find(primary.target);
+    if (!observation || !observation->is_reachable || member == primary.target)
+      return false;
+    const TargetStatus& status = observation->status;
+    return status.term == primary.term &&
+           status.since_primary_heard <= this->silence.timeout() &&
+           status.last_entry.position.value + kMaximumHandOverBacklog >=
+               leader->status.last_entry.position.value;
+  }
+
   PromotionReason ReasonWithoutPrimary(TimePoint now,
                                        const GroupView& view) const {
     std::optional<TimePoint> lost_at;
@@ -237,6 +266,7 @@
     if (this->last_reason == PromotionReason::kPrimaryLeaving) {
       const PrimaryView primary = *view.primary();
       this->phase = Phase::kHolding;
+      this->next_hand_over_at = now + this->options.hand_over_interval;
       this->until = now + this->options.hold / 2;
       return {HoldWrites{primary.target, primary.term, this->options.hold}};
     }
@@ -296,6 +326,7 @@
   Phase phase = Phase::kWatching;
   PromotionReason last_reason = PromotionReason::kNone;
   TimePoint until;
+  TimePoint next_hand_over_at;
   Term waiting_term;
   Term term;
   // The highest term this proxy has tried or was told of.
--- a/Libraries/LibLab/call_record.h
+++ b/Libraries/LibLab/call_record.h
@@ -10,7 +10,7 @@
 namespace kingcupmill {
 
 // The kinds of calls that the lab makes.
-enum class CallKind { kWrite, kTransaction, kSessionRead, kAgedRead };
+enum class CallKind { kWrite, kClock, kTransaction, kSessionRead, kAgedRead };
 
 // What one caller did and was told.
 struct CallRecord {
--- a/Libraries/LibLab/experiment.cc
+++ b/Libraries/LibLab/experiment.cc
@@ -26,15 +26,6 @@
 constexpr size_t kClockSessionBase = 100'000;
 constexpr size_t kProbeSession = 200'000;
 
-constexpr const char* kTables[] = {
-    "CREATE TABLE IF NOT EXISTS orders (session INTEGER, sequence INTEGER, at "
-    "INTEGER)",
-    "CREATE INDEX IF NOT EXISTS orders_by_session ON orders (session, "
-    "sequence)",
-    "CREATE TABLE IF NOT EXISTS transfers (session INTEGER, sequence INTEGER, "
-    "amount INTEGER)",
-    "CREATE TABLE IF NOT EXISTS clock (id INTEGER PRIMARY KEY, at INTEGER)"};
-
 // Sends one statement and returns whether it ran.
 bool RunStatement(HttpClient& client,
                   const ApplicationName& application,
@@ -49,17 +40,6 @@
   return response && response->status == 200;
 }
 
-int64_t IntegerAt(const std::vector<SqlValue>& row, size_t column) {
-  const auto* value = std::get_if<int64_t>(&row.at(column));
-  return value ? *value : 0;
-}
-
-ResultSet RunQuery(SqliteDatabase& database, const char* text) {
-  auto outcome = database.Execute(Statement{text, {}}, Access::kRead);
-  auto* result = std::get_if<ResultSet>(&outcome);
-  return result ? std::move(*result) : ResultSet{};
-}
-
 }  // namespace
 
 Result<std::unique_ptr<Experiment>> Experiment::Create(
@@ -178,7 +158,7 @@
 Result<void> Experiment::CreateTables() {
   HttpClient& client = *this->clients.front();
   for (const auto& [group, declared] : this->arrangement.groups) {
-    for (const char* table : kTables) {
+    for (const char* table : kWorkloadTables) {
       const nlohmann::json body = {{"group", group.value},
                                    {"sql", table},
                                    {"repeatable", true},
@@ -312,28 +292,11 @@
   std::map<GroupName, FinalState> states;
   this->standins->RunAndWait([&] {
     for (const auto& [name, group] : this->arrangement.groups) {
-      FinalState& state = states[name];
-      state.primary = this->standins->PrimaryOf(group);
-      if (state.primary.value.empty())
+      const TargetName primary = this->standins->PrimaryOf(group);
+      if (primary.value.empty())
         continue;
-      SqliteDatabase& database =
-          this->standins->target(state.primary).member().visible_database();
-      for (const auto& row :
-           RunQuery(database,
-                    "SELECT session, sequence, count(*) FROM orders GROUP BY "
-                    "session, sequence")
-               .rows) {
-        state.orders[{IntegerAt(row, 0), IntegerAt(row, 1)}] =
-            IntegerAt(row, 2);
-      }
-      for (const auto& row :
-           RunQuery(database,
-                    "SELECT session, sequence, count(*), sum(amount) FROM "
-                    "transfers GROUP BY session, sequence")
-               .rows) {
-        state.transfers[{IntegerAt(row, 0), IntegerAt(row, 1)}] = {
-            IntegerAt(row, 2), IntegerAt(row, 3)};
-      }
+      states[name] = ReadFinalState(
+          this->standins->target(primary).member().visible_database(), primary);
     }
   });
   return states;
--- a/Libraries/LibLab/history_checker.cc
+++ b/Libraries/LibLab/history_checker.cc
@@ -20,6 +20,8 @@
       case CallKind::kWrite:
         this->CheckWrite(record, violations);
         break;
+      case CallKind::kClock:
+        break;
       case CallKind::kTransaction:
         this->CheckTransaction(record, violations);
         break;
--- a/Libraries/LibLab/history_checker.h
+++ b/Libraries/LibLab/history_checker.h
@@ -10,23 +10,10 @@
 #include "LibCore/time.h"
 #include "LibLab/call_record.h"
 #include "LibLab/experiment_report.h"
+#include "LibLab/final_state.h"
 
 namespace kingcupmill {
 
-// What a group's database holds at the end of a run.
-struct FinalState {
-  // The number of rows for each (session, sequence).
-  std::map<std::pair<int64_t, int64_t>, int64_t> orders;
-  // The number of halves and their sum for each (session, sequence).
-  struct Transfer {
-    int64_t halves = 0;
-    int64_t sum = 0;
-  };
-  std::map<std::pair<int64_t, int64_t>, Transfer> transfers;
-  // The primary at the end.
-  TargetName primary;
-};
-
 // A value of the shared clock that was acknowledged at a time.
 struct ClockTick {
   int64_t value = 0;
--- a/Libraries/LibRequests/group_options.h
+++ b/Libraries/LibRequests/group_options.h
@@ -48,6 +48,17 @@
   Duration transaction_idle_limit = std::chrono::seconds(2);
   std::set<Guard> disabled_guards;
 
+  // Switches a protection off, here or in the options of the part that has it.
+  void Disable(Guard guard) {
+    this->disabled_guards.insert(guard);
+    if (guard == Guard::kSeal)
+      this->promoter.seal_quorum = SealQuorum::kSingle;
+    if (guard == Guard::kAgeProof)
+      this->router.age_check = ReadRouter::AgeCheck::kUnchecked;
+    if (guard == Guard::kConnectionCheck)
+      this->pool.answer_matching = AnswerMatching::kAny;
+  }
+
   bool is_enabled(Guard guard) const {
     return !this->disabled_guards.contains(guard);
   }
--- a/Libraries/LibRequests/read_executor.cc
+++ b/Libraries/LibRequests/read_executor.cc
@@ -133,7 +133,6 @@
   const TimePoint now = this->scheduler.Now();
   const bool is_young_enough =
       flow->decision.is_primary ||
-      !this->options.is_enabled(Guard::kAgeProof) ||
       this->router.is_young_enough(now, flow->query, response.point.position,
                                    this->monitor.view());
   if (!is_young_enough) {
--- a/Libraries/LibRequests/target_pool.cc
+++ b/Libraries/LibRequests/target_pool.cc
@@ -173,7 +173,10 @@
   if (!control.empty())
     return control.mapped()(std::move(response));
   // An answer that matches no request in flight is late or doubled.
-  if (!connection.in_flight || connection.in_flight->number != response.number)
+  const bool is_match = connection.in_flight &&
+                        (connection.in_flight->number == response.number ||
+                         this->options.answer_matching == AnswerMatching::kAny);
+  if (!is_match)
     return;
   this->DidReceiveWork(id, std::move(response));
 }
--- a/Libraries/LibRequests/target_pool.h
+++ b/Libraries/LibRequests/target_pool.h
@@ -26,6 +26,10 @@
 
 using SubmitOutcome = std::variant<TargetResponse, SubmitFailure>;
 
+// How an answer is matched with the request in flight on its connection. Taking
+// any answer is unsafe and exists only to show that the check is needed.
+enum class AnswerMatching { kByNumber, kAny };
+
 // Whether a connection stays reserved for the submitter after the answer.
 enum class PinPolicy { kShare, kPin };
 
@@ -48,6 +52,7 @@
     AdaptiveTimeout::Options control_timeout = {std::chrono::milliseconds(150),
                                                 std::chrono::seconds(2), 6};
     size_t maximum_queue = 256;
+    AnswerMatching answer_matching = AnswerMatching::kByNumber;
   };
 
   // Identifies a pinned connection; changes when the connection is replaced.
--- a/Libraries/LibRouting/read_router.cc
+++ b/Libraries/LibRouting/read_router.cc
@@ -88,6 +88,8 @@
       return std::nullopt;
     return required;
   }
+  if (this->options.age_check == AgeCheck::kUnchecked)
+    return required;
   // A margin that eats a short age whole would refuse what can be served.
   const Duration margin =
       std::min(this->options.age_margin, *query.maximum_age / 2);
@@ -124,8 +126,9 @@
                                  const ReadQuery& query,
                                  Position position,
                                  const GroupView& view) const {
-  if (!query.maximum_age)
+  if (!query.maximum_age || this->options.age_check == AgeCheck::kUnchecked) {
     return true;
+  }
   const auto proven_at = view.age_proofs().ProvenAt(position);
   return proven_at && now - *proven_at <= *query.maximum_age;
 }
--- a/Libraries/LibRouting/read_router.h
+++ b/Libraries/LibRouting/read_router.h
@@ -16,7 +16,12 @@
 // estimated cost of each target.
 class ReadRouter {
  public:
+  // Whether a stated age is proven. Leaving it unproven is unsafe and exists
+  // only to show that the proof is needed.
+  enum class AgeCheck { kProven, kUnchecked };
+
   struct Options {
+    AgeCheck age_check = AgeCheck::kProven;
     // How recent a majority confirmation must be for the primary to serve
     // reads without a session point or an age.
     Duration confirmation_window = std::chrono::milliseconds(500);
--- a/Libraries/LibStandins/replica_member.cc
+++ b/Libraries/LibStandins/replica_member.cc
@@ -178,7 +178,12 @@
     answer.is_matching = this->MatchAndAppend(message);
     const Position matched{message.previous.position.value +
                            message.entries.size()};
-    answer.held = answer.is_matching ? matched : this->log.last().position;
+    // The confirmed entries are the same everywhere, so a log that conflicts is
+    // compared again from there.
+    const bool is_conflicting = this->log.has(message.previous.position);
+    const Position restart =
+        is_conflicting ? this->confirmed : this->log.last().position;
+    answer.held = answer.is_matching ? matched : restart;
   }
   answer.term = this->term;
   for (ReplicaMember* peer : this->peers) {
@@ -225,10 +230,8 @@
   PeerProgress& peer_progress = this->progress[answer.replica];
   if (!answer.is_matching) {
     // Answers that overtook each other must not move below what is held.
-    const uint64_t retreat =
-        std::min(answer.held.value + 1, peer_progress.next.value - 1);
     peer_progress.next.value =
-        std::max({retreat, peer_progress.held.value + 1, uint64_t{1}});
+        std::max(answer.held.value, peer_progress.held.value) + 1;
     for (ReplicaMember* peer : this->peers) {
       if (peer->name() == answer.replica)
         this->ReplicateTo(*peer);
--- a/Libraries/LibStandins/standin_target.cc
+++ b/Libraries/LibStandins/standin_target.cc
@@ -14,6 +14,7 @@
       options(std::move(options)),
       replica(scheduler, network, this->options.member) {
   this->replica.SetDidChange([this] { this->MemberDidChange(); });
+  this->CloseIdleClients();
 }
 
 std::optional<StandinTarget::ConnectionId> StandinTarget::Open(
@@ -25,6 +26,7 @@
   Client client;
   client.reply = std::move(reply);
   client.did_close = std::move(did_close);
+  client.last_request_at = this->scheduler.Now();
   this->clients.emplace(id, std::move(client));
   return id;
 }
@@ -46,6 +48,7 @@
   const auto client = this->clients.find(connection);
   if (client == this->clients.end() || client->second.is_silent)
     return;
+  client->second.last_request_at = this->scheduler.Now();
   switch (request.operation) {
     case TargetOperation::kHello:
       return this->DidReceiveHello(connection, request);
@@ -445,6 +448,22 @@
   }
 }
 
+void StandinTarget::CloseIdleClients() {
+  const TimePoint limit = this->scheduler.Now() - this->options.idle_limit;
+  std::vector<ConnectionId> idle;
+  for (const auto& [connection, client] : this->clients) {
+    if (client.last_request_at < limit)
+      idle.push_back(connection);
+  }
+  for (const ConnectionId connection : idle) {
+    const DidClose did_close = this->clients.at(connection).did_close;
+    this->Close(connection);
+    did_close();
+  }
+  this->scheduler.PostAfter(this->options.idle_limit / 5,
+                            [this] { this->CloseIdleClients(); });
+}
+
 void StandinTarget::Kill() {
   ++this->life;
   this->queue.clear();
--- a/Libraries/LibStandins/standin_target.h
+++ b/Libraries/LibStandins/standin_target.h
@@ -28,6 +28,9 @@
     Duration service_time = Duration(300);
     // How long a write waits for another transaction's end.
     Duration lock_timeout = std::chrono::milliseconds(500);
+    // A connection without a request for this long is closed, because its
+    // client may be gone without a word.
+    Duration idle_limit = std::chrono::seconds(5);
   };
 
   using ConnectionId = uint64_t;
@@ -70,6 +73,7 @@
     DidClose did_close;
     bool is_counted = false;
     bool is_silent = false;
+    TimePoint last_request_at;
   };
   // The interactive transaction that holds the write lock.
   struct Transaction {
@@ -129,6 +133,7 @@
   void RetryLockWaiters();
   void RetryPositionWaiters();
   void ExpireWaiters();
+  void CloseIdleClients();
 
   Scheduler& scheduler;
   Options options;
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -6,3 +6,4 @@
 Meta/lint.sh
 export RC_PARAMS="seed=20261204"
 build/kingcupmill-tests
+Meta/guards.sh 2>/dev/null
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -7,14 +7,18 @@
 #include <map>
 #include <string>
 
+#include "LibLab/chaos_run.h"
 #include "LibLab/experiment.h"
 #include "LibWire/http_server.h"
 
 namespace {
 
+using kingcupmill::ChaosReport;
+using kingcupmill::ChaosRun;
 using kingcupmill::Error;
 using kingcupmill::Experiment;
 using kingcupmill::ExperimentOptions;
+using kingcupmill::Guard;
 using kingcupmill::Milliseconds;
 using kingcupmill::PrimaryFault;
 
@@ -46,6 +50,58 @@
       });
 }
 
+const std::map<std::string, Guard> kGuards = {
+    {"majority", Guard::kMajorityAcknowledgement},
+    {"seal", Guard::kSeal},
+    {"ledger", Guard::kLedger},
+    {"tombstone", Guard::kTombstone},
+    {"token", Guard::kTokenWait},
+    {"age", Guard::kAgeProof},
+    {"connection", Guard::kConnectionCheck},
+    {"revision", Guard::kRevisionCheck}};
+
+// Prints one line for a chaos run.
+void PrintChaosReport(const ChaosReport& report) {
+  const auto& violations = report.violations;
+  std::printf(
+      "seed %llu: %llu steps, %llu calls (%llu ran, %llu not run, %llu "
+      "unknown), %llu promotions; lost %llu duplicated %llu mixed %llu "
+      "superseded %llu read-your-writes %llu false-not-run %llu stale %llu "
+      "revision %llu unrecovered %llu\n",
+      static_cast<unsigned long long>(report.seed),
+      static_cast<unsigned long long>(report.steps),
+      static_cast<unsigned long long>(report.requests.sent),
+      static_cast<unsigned long long>(report.requests.ran),
+      static_cast<unsigned long long>(report.requests.not_run),
+      static_cast<unsigned long long>(report.requests.unknown),
+      static_cast<unsigned long long>(report.promotions),
+      static_cast<unsigned long long>(violations.lost),
+      static_cast<unsigned long long>(violations.duplicated),
+      static_cast<unsigned long long>(violations.mixed),
+      static_cast<unsigned long long>(violations.superseded_ack),
+      static_cast<unsigned long long>(violations.read_your_writes),
+      static_cast<unsigned long long>(violations.false_not_run),
+      static_cast<unsigned long long>(violations.stale_beyond_age),
+      static_cast<unsigned long long>(report.revision_violations),
+      static_cast<unsigned long long>(report.unrecovered));
+  for (const std::string& detail : report.details)
+    std::printf("  %s\n", detail.c_str());
+  std::fflush(stdout);
+}
+
+// Runs seeds from `first` on; returns the exit code.
+int RunChaos(ChaosRun::Options options, uint64_t first, uint64_t count) {
+  uint64_t failures = 0;
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    options.seed = seed;
+    ChaosRun run(options);
+    const ChaosReport report = run.Run();
+    PrintChaosReport(report);
+    failures += report.failures();
+  }
+  return failures == 0 ? kExitOk : kExitViolations;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -95,9 +151,29 @@
   run->add_option("--fault", options.fault,
                   "What happens to a primary half-way (default kill)")
       ->transform(CLI::CheckedTransformer(faults));
+  ChaosRun::Options chaos_options;
+  uint64_t first_seed = 1;
+  uint64_t seed_count = 1;
+  CLI::App* chaos = app.add_subcommand(
+      "chaos", "Run whole proxies on virtual time under random faults");
+  chaos->add_option("--seed", first_seed, "First seed")->capture_default_str();
+  chaos->add_option("--seeds", seed_count, "Number of seeds")
+      ->check(CLI::Range(1, 1'000'000))
+      ->capture_default_str();
+  chaos->add_option("--steps", chaos_options.steps, "Steps for each seed")
+      ->capture_default_str();
+  chaos->add_option("--sessions", chaos_options.session_count, "Callers")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  chaos
+      ->add_option("--without", chaos_options.disabled_guard,
+                   "Switch one protection off, to see that it is needed")
+      ->transform(CLI::CheckedTransformer(kGuards));
   CLI11_PARSE(app, argc, argv);
 
   spdlog::set_level(spdlog::level::from_str(log_level));
+  if (*chaos)
+    return RunChaos(chaos_options, first_seed, seed_count);
   kingcupmill::HttpServer::InitializeThreads(kHttpThreads);
   options.duration = std::chrono::seconds(seconds);
   options.replica_lag = Milliseconds(lag_ms);
