--- a/Libraries/LibFailover/promoter.h
+++ b/Libraries/LibFailover/promoter.h
@@ -26,7 +26,8 @@
 struct PromoterOptions {
   SealQuorum seal_quorum = SealQuorum::kMajority;
   // Bounds of the silence of a primary after which replicas count it as lost.
-  AdaptiveTimeout::Options silence;
+  AdaptiveTimeout::Options silence = {std::chrono::milliseconds(300),
+                                      std::chrono::seconds(2), 6};
   // A primary that this proxy cannot reach for this long is replaced even
   // though the replicas still hear from it.
   Duration unreachable_limit = std::chrono::seconds(3);
@@ -75,8 +76,10 @@
                                     const GroupView& view,
                                     size_t rank,
                                     const std::set<TargetName>& leaving) {
-    this->Learn(view);
     this->last_reason = this->ReasonFor(now, view, leaving);
+    // What looks like a loss must not raise the limit until it hides the loss.
+    if (this->last_reason == PromotionReason::kNone)
+      this->Learn(view);
     switch (this->phase) {
       case Phase::kWatching:
         if (this->last_reason != PromotionReason::kNone)
@@ -167,8 +170,7 @@
           observation->status.role != TargetRole::kReplica) {
         continue;
       }
-      this->silence.Observe(std::min(observation->status.since_primary_heard,
-                                     this->options.silence.ceiling));
+      this->silence.Observe(observation->status.since_primary_heard);
       this->newest_learned =
           std::max(this->newest_learned, observation->received_at);
     }
