LibRequests: Settle at the new primary what the old one has not answered

Cause: with a primary cut off or paused, a write that was in flight waited for its attempt timeout of 1.5 s before it was settled, although the new primary had been known for more than a second.

Change: when the primary changes, work in flight at the old one counts as lost and is settled at the new one at once. The time between polls of the platform grows with the number of VMs, so that its load does not.

--- a/Libraries/LibLab/experiment.cc
+++ b/Libraries/LibLab/experiment.cc
@@ -22,6 +22,8 @@
 constexpr Duration kReadyTimeout = std::chrono::seconds(20);
 constexpr Duration kReadyCheckInterval = std::chrono::milliseconds(20);
 constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
+// Longer than the time in which a change must be in force everywhere.
+constexpr Duration kSpreadTime = std::chrono::seconds(8);
 constexpr Duration kClockInterval = std::chrono::milliseconds(20);
 constexpr size_t kClockSessionBase = 100'000;
 constexpr size_t kProbeSession = 200'000;
@@ -179,6 +181,74 @@
   return this->MakeReport();
 }
 
+uint64_t Experiment::SumControlBytes() {
+  constexpr std::string_view kName = "\nkingcupmill_peer_control_bytes_total ";
+  HttpRequest request;
+  request.method = "GET";
+  request.path = "/metrics";
+  uint64_t sum = 0;
+  for (const auto& client : this->clients) {
+    auto outcome = Capture([&] { return client->SendAndWait(request); });
+    const auto* response = std::get_if<HttpResponse>(&outcome);
+    const size_t found =
+        response ? response->body.find(kName) : std::string::npos;
+    if (found != std::string::npos) {
+      sum += static_cast<uint64_t>(
+          std::strtod(response->body.c_str() + found + kName.size(), nullptr));
+    }
+  }
+  return sum;
+}
+
+uint64_t Experiment::PlatformReads() {
+  uint64_t reads = 0;
+  this->standins->RunAndWait(
+      [&] { reads = this->standins->platform().state().read_count(); });
+  return reads;
+}
+
+Result<Duration> Experiment::MeasureSpread() {
+  Arrangement changed = this->arrangement;
+  changed.applications.begin()->second.groups.resize(1);
+  HttpPlatformClient platform(this->PlatformAddress(), kReadyTimeout);
+  Publisher<HttpPlatformClient> publisher(platform);
+  BOOST_LEAF_CHECK(publisher.Publish(WriteArrangement(changed), Revision{1},
+                                     "lab-change", "lab"));
+  const TimePoint published_at = MonotonicNow();
+  std::this_thread::sleep_for(kSpreadTime);
+  HttpRequest request;
+  request.method = "GET";
+  request.path = "/admin/status";
+  Duration slowest{0};
+  for (const auto& client : this->clients) {
+    BOOST_LEAF_AUTO(response, client->SendAndWait(request));
+    const TimePoint now = MonotonicNow();
+    const auto status = nlohmann::json::parse(response.body);
+    if (status.at("revision") != 2)
+      return Fail(ErrorCode::kTimeout, "a proxy does not have the change");
+    const Duration since =
+        Milliseconds(status.at("in_force_since_ms").get<int64_t>());
+    slowest = std::max(slowest, now - since - published_at);
+  }
+  return slowest;
+}
+
+Result<ControlCost> Experiment::MeasureControl() {
+  const uint64_t bytes_before = this->SumControlBytes();
+  const uint64_t reads_before = this->PlatformReads();
+  const Duration processor_before = ProcessorTime();
+  std::this_thread::sleep_for(this->options.duration);
+  ControlCost cost;
+  cost.vm_count = this->options.vm_count;
+  cost.elapsed = this->options.duration;
+  cost.processor = ProcessorTime() - processor_before;
+  cost.platform_reads = this->PlatformReads() - reads_before;
+  cost.control_bytes = this->SumControlBytes() - bytes_before;
+  cost.resident_bytes = ResidentBytes();
+  BOOST_LEAF_ASSIGN(cost.spread, this->MeasureSpread());
+  return cost;
+}
+
 void Experiment::RunSessions() {
   const TimePoint end = MonotonicNow() + this->options.duration;
   std::vector<GroupName> groups;
--- a/Libraries/LibLab/experiment.h
+++ b/Libraries/LibLab/experiment.h
@@ -12,6 +12,7 @@
 #include "LibArrangement/arrangement.h"
 #include "LibCore/error.h"
 #include "LibLab/call_record.h"
+#include "LibLab/control_cost.h"
 #include "LibLab/experiment_options.h"
 #include "LibLab/experiment_report.h"
 #include "LibLab/history_checker.h"
@@ -33,6 +34,10 @@
 
   Result<ExperimentReport> Run();
 
+  // Leaves the proxies idle, then publishes one change, and measures what
+  // control costs.
+  Result<ControlCost> MeasureControl();
+
  private:
   explicit Experiment(ExperimentOptions options);
   Result<void> Start();
@@ -40,6 +45,10 @@
   Result<void> PublishArrangement();
   std::string PlatformAddress() const;
   Result<void> WaitUntilReady();
+  uint64_t SumControlBytes();
+  uint64_t PlatformReads();
+  // Publishes a change and returns when the last proxy has it in force.
+  Result<Duration> MeasureSpread();
   Result<void> CreateTables();
   std::vector<HttpClient*> Clients() const;
   ApplicationName FirstApplication() const;
--- a/Libraries/LibProxy/control_agent.cc
+++ b/Libraries/LibProxy/control_agent.cc
@@ -1,5 +1,6 @@
 #include "LibProxy/control_agent.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -71,14 +72,20 @@
         if (alive && *alive)
           this->DidListVms(outcome);
       });
-  // Jitter of a quarter keeps the proxies from polling in step.
-  const auto quarter =
-      static_cast<uint64_t>(this->options.poll_interval.count() / 4 + 1);
-  const Duration jitter(static_cast<int64_t>(this->random.Below(quarter)));
-  this->scheduler.PostAfter(this->options.poll_interval + jitter,
+  this->scheduler.PostAfter(this->PollInterval(),
                             this->Guarded([this] { this->Poll(); }));
 }
 
+Duration ControlAgent::PollInterval() {
+  const auto vm_count = static_cast<int64_t>(this->known_members.size());
+  const Duration interval =
+      std::max(this->options.poll_interval,
+               vm_count * this->options.poll_interval_per_vm);
+  // Jitter of a quarter keeps the proxies from polling in step.
+  const auto quarter = static_cast<uint64_t>(interval.count() / 4 + 1);
+  return interval + Duration(static_cast<int64_t>(this->random.Below(quarter)));
+}
+
 void ControlAgent::DidReadHead(const ValueOrError<PlatformRow>& outcome) {
   const auto* row = std::get_if<PlatformRow>(&outcome);
   if (!row)
--- a/Libraries/LibProxy/control_agent.h
+++ b/Libraries/LibProxy/control_agent.h
@@ -39,7 +39,11 @@
  public:
   struct Options {
     VmName vm;
+    // The shortest time between two polls of the platform.
     Duration poll_interval = std::chrono::milliseconds(1000);
+    // Added up over the known VMs, this is the time between two polls once it
+    // is longer, so that the platform's load does not grow with the VMs.
+    Duration poll_interval_per_vm = std::chrono::milliseconds(10);
     Duration pulse_interval = std::chrono::milliseconds(1000);
     // The proxies told in each round of pulses, and after an adoption.
     size_t pulse_fanout = 2;
@@ -77,6 +81,7 @@
 
  private:
   void Poll();
+  Duration PollInterval();
   void DidReadHead(const ValueOrError<PlatformRow>& outcome);
   void DidListVms(const ValueOrError<std::vector<VmRecord>>& outcome);
   void SetMembers(std::vector<Member> members);
--- a/Libraries/LibRequests/group_monitor.cc
+++ b/Libraries/LibRequests/group_monitor.cc
@@ -115,17 +115,31 @@
   for (auto& [target, pool] : this->pools) {
     TargetRequest request;
     request.operation = TargetOperation::kStatus;
-    pool->Control(
-        std::move(request), [this, target = target, sent_at](
-                                const std::optional<TargetResponse>& response) {
-          if (!response)
-            return;
-          this->group_view.DidReceiveStatus(target, response->status, sent_at,
-                                            this->scheduler.Now());
-        });
+    pool->Control(std::move(request),
+                  [this, target = target,
+                   sent_at](const std::optional<TargetResponse>& response) {
+                    if (!response)
+                      return;
+                    this->DidReceiveStatus(target, response->status, sent_at);
+                  });
   }
 }
 
+void GroupMonitor::DidReceiveStatus(const TargetName& target,
+                                    const TargetStatus& status,
+                                    TimePoint sent_at) {
+  this->group_view.DidReceiveStatus(target, status, sent_at,
+                                    this->scheduler.Now());
+  const auto primary = this->group_view.primary();
+  if (!primary || primary == this->last_primary)
+    return;
+  const auto previous = std::exchange(this->last_primary, primary);
+  // What the old primary has not answered is settled at the new one, instead
+  // of waiting for answers that may never come.
+  if (previous && previous->target != primary->target)
+    this->pool(previous->target).AbandonWork();
+}
+
 void GroupMonitor::Review() {
   this->Run(this->promoter.Tick(this->scheduler.Now(), this->group_view,
                                 this->rank, this->leaving));
@@ -148,20 +162,19 @@
   request.proposer = this->Proposer();
   const TimePoint sent_at = this->scheduler.Now();
   this->pool(action.target)
-      .Control(std::move(request),
-               [this, action,
-                sent_at](const std::optional<TargetResponse>& response) {
-                 if (!response)
-                   return;
-                 const TimePoint now = this->scheduler.Now();
-                 this->group_view.DidReceiveStatus(
-                     action.target, response->status, sent_at, now);
-                 const bool is_granted =
-                     response->error == TargetErrorCode::kNone;
-                 this->Run(this->promoter.DidReceiveSeal(
-                     now, action.target, action.term, is_granted,
-                     response->status, this->group_view));
-               });
+      .Control(
+          std::move(request),
+          [this, action,
+           sent_at](const std::optional<TargetResponse>& response) {
+            if (!response)
+              return;
+            const TimePoint now = this->scheduler.Now();
+            this->DidReceiveStatus(action.target, response->status, sent_at);
+            const bool is_granted = response->error == TargetErrorCode::kNone;
+            this->Run(this->promoter.DidReceiveSeal(
+                now, action.target, action.term, is_granted, response->status,
+                this->group_view));
+          });
 }
 
 void GroupMonitor::Perform(const LeadTarget& action) {
@@ -177,19 +190,18 @@
   request.statements = LedgerMarker(action.term, action.target);
   const TimePoint sent_at = this->scheduler.Now();
   this->pool(action.target)
-      .Control(std::move(request),
-               [this, action,
-                sent_at](const std::optional<TargetResponse>& response) {
-                 if (!response)
-                   return;
-                 const TimePoint now = this->scheduler.Now();
-                 this->group_view.DidReceiveStatus(
-                     action.target, response->status, sent_at, now);
-                 const bool is_leading =
-                     response->error == TargetErrorCode::kNone;
-                 this->Run(this->promoter.DidReceiveLead(
-                     now, action.target, action.term, is_leading));
-               });
+      .Control(
+          std::move(request),
+          [this, action,
+           sent_at](const std::optional<TargetResponse>& response) {
+            if (!response)
+              return;
+            const TimePoint now = this->scheduler.Now();
+            this->DidReceiveStatus(action.target, response->status, sent_at);
+            const bool is_leading = response->error == TargetErrorCode::kNone;
+            this->Run(this->promoter.DidReceiveLead(now, action.target,
+                                                    action.term, is_leading));
+          });
 }
 
 void GroupMonitor::Perform(const HoldWrites& action) {
--- a/Libraries/LibRequests/group_monitor.h
+++ b/Libraries/LibRequests/group_monitor.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -55,6 +56,9 @@
  private:
   void Tick();
   void Review();
+  void DidReceiveStatus(const TargetName& target,
+                        const TargetStatus& status,
+                        TimePoint sent_at);
   void Run(const std::vector<PromotionAction>& actions);
   void Perform(const SealTarget& action);
   void Perform(const LeadTarget& action);
@@ -74,6 +78,7 @@
   std::set<TargetName> local;
   Scheduler::TimerId tick_timer = 0;
   TimePoint last_probe_at;
+  std::optional<PrimaryView> last_primary;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibRequests/target_pool.cc
+++ b/Libraries/LibRequests/target_pool.cc
@@ -88,6 +88,16 @@
                     this->control_timeout.timeout(), std::move(did_control));
 }
 
+void TargetPool::AbandonWork() {
+  std::vector<ConnectionId> busy;
+  for (const auto& [id, connection] : this->connections) {
+    if (connection.in_flight)
+      busy.push_back(id);
+  }
+  for (const ConnectionId id : busy)
+    this->Drop(id);
+}
+
 void TargetPool::Tick() {
   const TimePoint now = this->scheduler.Now();
   for (auto& expired : this->queue.TakeExpired(now))
--- a/Libraries/LibRequests/target_pool.h
+++ b/Libraries/LibRequests/target_pool.h
@@ -95,6 +95,10 @@
   // Sends a request on the control connection, ahead of all work.
   void Control(TargetRequest request, DidControl did_control);
 
+  // Gives up on the work in flight, as lost, because this target is no longer
+  // the primary and may never answer.
+  void AbandonWork();
+
   // Tests idle connections and drops expired work; call it regularly.
   void Tick();
 
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -50,6 +50,22 @@
       });
 }
 
+// Starts the embedded system without load and measures what control costs.
+int RunCapacity(const ExperimentOptions& options) {
+  return boost::leaf::try_handle_all(
+      [&]() -> kingcupmill::Result<int> {
+        BOOST_LEAF_AUTO(experiment, Experiment::Create(options));
+        BOOST_LEAF_AUTO(cost, experiment->MeasureControl());
+        std::puts(kingcupmill::FormatControlCost(cost).c_str());
+        return kExitOk;
+      },
+      [](const Error& error) {
+        std::fprintf(stderr, "kingcupmill-lab: %s\n", error.message.c_str());
+        return kExitFailed;
+      },
+      [] { return kExitFailed; });
+}
+
 const std::map<std::string, Guard> kGuards = {
     {"majority", Guard::kMajorityAcknowledgement},
     {"seal", Guard::kSeal},
@@ -151,6 +167,17 @@
   run->add_option("--fault", options.fault,
                   "What happens to a primary half-way (default kill)")
       ->transform(CLI::CheckedTransformer(faults));
+  CLI::App* capacity =
+      app.add_subcommand("capacity", "Measure what control costs without load");
+  capacity->add_option("--declarations", options.declarations)
+      ->capture_default_str();
+  capacity->add_option("--vms", options.vm_count, "Proxies")
+      ->check(CLI::Range(1, 300))
+      ->capture_default_str();
+  capacity->add_option("--seconds", seconds, "Length of the idle time")
+      ->capture_default_str();
+  capacity->add_option("--port-base", options.port_base)->capture_default_str();
+
   ChaosRun::Options chaos_options;
   uint64_t first_seed = 1;
   uint64_t seed_count = 1;
@@ -177,5 +204,5 @@
   kingcupmill::HttpServer::InitializeThreads(kHttpThreads);
   options.duration = std::chrono::seconds(seconds);
   options.replica_lag = Milliseconds(lag_ms);
-  return RunExperiment(options);
+  return *capacity ? RunCapacity(options) : RunExperiment(options);
 }
