LibCore: Tie callbacks to their owner's life in one place; escape JSON logs

Cause: the same four lines that guard a callback against its owner's end stood in fourteen places; and a log line in JSON was not JSON when its message had a quotation mark, which every decision line has.

--- /dev/null
+++ b/Libraries/LibCore/json_log.h
@@ -0,0 +1,17 @@
+#ifndef LIBCORE_JSON_LOG_H_
+#define LIBCORE_JSON_LOG_H_
+
+#include <string>
+#include <string_view>
+
+namespace kingcupmill {
+
+// Makes every log line one JSON object with time, level and message.
+void UseJsonLog();
+
+// Returns `text` as the inside of a JSON string.
+std::string EscapeForJson(std::string_view text);
+
+}  // namespace kingcupmill
+
+#endif  // LIBCORE_JSON_LOG_H_
--- a/Libraries/LibProxy/control_agent.cc
+++ b/Libraries/LibProxy/control_agent.cc
@@ -40,40 +40,26 @@
       revisions(this->options.step_back) {
   if (!this->options.seeds.empty())
     this->SetMembers(this->options.seeds);
-  this->scheduler.PostAfter(Duration(0), this->Guarded([this] {
+  this->scheduler.PostAfter(Duration(0), this->life.Wrap([this] {
     this->Poll();
     this->Pulse();
   }));
 }
 
-ControlAgent::~ControlAgent() {
-  *this->life = false;
-}
-
-Scheduler::Task ControlAgent::Guarded(Scheduler::Task task) {
-  return [life = std::weak_ptr<bool>(this->life), task = std::move(task)] {
-    const auto alive = life.lock();
-    if (alive && *alive)
-      task();
-  };
-}
+ControlAgent::~ControlAgent() = default;
 
 void ControlAgent::Poll() {
-  const std::weak_ptr<bool> weak = this->life;
   this->platform.ReadRow(
-      kHeadKey, [this, weak](const ValueOrError<PlatformRow>& outcome) {
-        const auto alive = weak.lock();
-        if (alive && *alive)
-          this->DidReadHead(outcome);
-      });
-  this->platform.ListVms(
-      [this, weak](const ValueOrError<std::vector<VmRecord>>& outcome) {
-        const auto alive = weak.lock();
-        if (alive && *alive)
-          this->DidListVms(outcome);
-      });
+      kHeadKey,
+      this->life.Wrap([this](const ValueOrError<PlatformRow>& outcome) {
+        this->DidReadHead(outcome);
+      }));
+  this->platform.ListVms(this->life.Wrap(
+      [this](const ValueOrError<std::vector<VmRecord>>& outcome) {
+        this->DidListVms(outcome);
+      }));
   this->scheduler.PostAfter(this->PollInterval(),
-                            this->Guarded([this] { this->Poll(); }));
+                            this->life.Wrap([this] { this->Poll(); }));
 }
 
 Duration ControlAgent::PollInterval() {
@@ -102,14 +88,13 @@
 }
 
 void ControlAgent::FetchFromStore(const RevisionName& name) {
-  const std::weak_ptr<bool> weak = this->life;
   this->platform.ReadBlob(
-      name.digest, [this, weak, name](const ValueOrError<std::string>& text) {
-        const auto alive = weak.lock();
-        const auto* value = std::get_if<std::string>(&text);
-        if (alive && *alive && value)
-          this->DidReceiveText(name, *value);
-      });
+      name.digest,
+      this->life.Wrap([this, name](const ValueOrError<std::string>& outcome) {
+        const auto* text = std::get_if<std::string>(&outcome);
+        if (text)
+          this->DidReceiveText(name, *text);
+      }));
 }
 
 void ControlAgent::DidReceiveText(const RevisionName& name,
@@ -170,7 +155,7 @@
 void ControlAgent::Pulse() {
   this->SendPulses(this->options.pulse_fanout);
   this->scheduler.PostAfter(this->options.pulse_interval,
-                            this->Guarded([this] { this->Pulse(); }));
+                            this->life.Wrap([this] { this->Pulse(); }));
 }
 
 PulseMessage ControlAgent::MakePulse(uint64_t number) const {
--- a/Libraries/LibProxy/control_agent.h
+++ b/Libraries/LibProxy/control_agent.h
@@ -9,6 +9,7 @@
 
 #include "LibArrangement/arrangement.h"
 #include "LibConfiguration/revision_tracker.h"
+#include "LibCore/life_guard.h"
 #include "LibCore/names.h"
 #include "LibCore/random_source.h"
 #include "LibCore/scheduler.h"
@@ -94,8 +95,6 @@
   void DidReceivePulse(const PulseMessage& pulse, const Answer& answer);
   void DidReceiveArrangement(const ArrangementMessage& message);
 
-  Scheduler::Task Guarded(Scheduler::Task task);
-
   Scheduler& scheduler;
   PlatformLink& platform;
   PeerNetwork& peers;
@@ -109,7 +108,7 @@
   std::vector<Member> known_members;
   bool has_listed_vms = false;
   uint64_t next_number = 1;
-  std::shared_ptr<bool> life = std::make_shared<bool>(true);
+  LifeGuard life;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibProxy/proxy_core.cc
+++ b/Libraries/LibProxy/proxy_core.cc
@@ -47,9 +47,7 @@
       options(std::move(options)),
       did_promote(std::move(did_promote)) {}
 
-ProxyCore::~ProxyCore() {
-  *this->life = false;
-}
+ProxyCore::~ProxyCore() = default;
 
 void ProxyCore::AdoptArrangement(Arrangement arrangement) {
   this->in_force = std::move(arrangement);
@@ -150,28 +148,21 @@
   this->log.Write(DecisionLog::Frequency::kRare, "retire_home",
                   agent->options().group.value, this->options.vm.value, "",
                   "no longer chosen");
-  if (this->retired_agents.empty()) {
-    this->scheduler.PostAfter(kSweepInterval,
-                              [this, life = std::weak_ptr<bool>(this->life)] {
-                                const auto alive = life.lock();
-                                if (alive && *alive)
-                                  this->SweepRetired();
-                              });
-  }
   this->retired_agents.push_back(std::move(agent));
+  if (this->retired_agents.size() == 1)
+    this->ScheduleSweep();
+}
+
+void ProxyCore::ScheduleSweep() {
+  this->scheduler.PostAfter(kSweepInterval,
+                            this->life.Wrap([this] { this->SweepRetired(); }));
 }
 
 void ProxyCore::SweepRetired() {
   std::erase_if(this->retired_agents,
                 [](const auto& agent) { return agent->is_idle(); });
-  if (this->retired_agents.empty())
-    return;
-  this->scheduler.PostAfter(kSweepInterval,
-                            [this, life = std::weak_ptr<bool>(this->life)] {
-                              const auto alive = life.lock();
-                              if (alive && *alive)
-                                this->SweepRetired();
-                            });
+  if (!this->retired_agents.empty())
+    this->ScheduleSweep();
 }
 
 void ProxyCore::Handle(ClientRequest request, Reply reply) {
@@ -225,11 +216,9 @@
 
 Reply ProxyCore::Counted(Reply reply) {
   ++this->requests_in_flight;
-  return [this, life = std::weak_ptr<bool>(this->life),
+  return [did_finish = this->life.Wrap([this] { --this->requests_in_flight; }),
           reply = std::move(reply)](ClientAnswer answer) {
-    const auto alive = life.lock();
-    if (alive && *alive)
-      --this->requests_in_flight;
+    did_finish();
     reply(std::move(answer));
   };
 }
@@ -300,15 +289,10 @@
                                 "the proxy of the transaction cannot be "
                                 "reached"));
     }
-    this->scheduler.PostAfter(
-        kForwardRetryDelay,
-        [this, flow, life = std::weak_ptr<bool>(this->life)] {
-          const auto alive = life.lock();
-          if (!alive || !*alive)
-            return;
-          flow->candidates = this->ForwardOrder(flow->request.group);
-          this->ForwardNext(flow);
-        });
+    this->scheduler.PostAfter(kForwardRetryDelay, this->life.Wrap([this, flow] {
+      flow->candidates = this->ForwardOrder(flow->request.group);
+      this->ForwardNext(flow);
+    }));
     return;
   }
   const VmName to = flow->candidates.front();
@@ -321,12 +305,9 @@
                     JoinVms(flow->candidates), "not a home of the group");
   }
   this->peers.Forward(to, std::move(request),
-                      [this, flow, life = std::weak_ptr<bool>(this->life)](
-                          ForwardOutcome outcome) {
-                        const auto alive = life.lock();
-                        if (alive && *alive)
-                          this->DidForward(flow, std::move(outcome));
-                      });
+                      this->life.Wrap([this, flow](ForwardOutcome outcome) {
+                        this->DidForward(flow, std::move(outcome));
+                      }));
 }
 
 void ProxyCore::DidForward(const FlowPointer& flow, ForwardOutcome outcome) {
--- a/Libraries/LibProxy/proxy_core.h
+++ b/Libraries/LibProxy/proxy_core.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibArrangement/arrangement.h"
+#include "LibCore/life_guard.h"
 #include "LibCore/names.h"
 #include "LibCore/random_source.h"
 #include "LibCore/scheduler.h"
@@ -72,6 +73,7 @@
   void Rebuild();
   // Lets an agent that is no longer wanted finish what it has in flight.
   void Retire(std::unique_ptr<GroupAgent> agent);
+  void ScheduleSweep();
   void SweepRetired();
   // Returns the agent that holds a transaction of this proxy, or null.
   GroupAgent* FindAgentOf(const ClientRequest& request);
@@ -100,7 +102,7 @@
   std::map<GroupName, std::vector<VmName>> homes;
   size_t requests_in_flight = 0;
   bool draining = false;
-  std::shared_ptr<bool> life = std::make_shared<bool>(true);
+  LifeGuard life;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibRequests/read_executor.cc
+++ b/Libraries/LibRequests/read_executor.cc
@@ -39,9 +39,7 @@
       router(options.router),
       budget(options.retry_budget) {}
 
-ReadExecutor::~ReadExecutor() {
-  *this->life = false;
-}
+ReadExecutor::~ReadExecutor() = default;
 
 void ReadExecutor::Execute(ClientRequest request, Reply reply) {
   auto flow = std::make_shared<Flow>();
@@ -158,14 +156,10 @@
   // A token that is ahead of what is known may only be new, so the group is
   // asked before the next attempt.
   this->monitor.Probe();
-  this->scheduler.PostAfter(
-      kRetryDelay, [this, flow, life = std::weak_ptr<bool>(this->life)] {
-        const auto alive = life.lock();
-        if (!alive || !*alive)
-          return;
-        flow->excluded.clear();
-        this->Attempt(flow);
-      });
+  this->scheduler.PostAfter(kRetryDelay, this->life.Wrap([this, flow] {
+    flow->excluded.clear();
+    this->Attempt(flow);
+  }));
 }
 
 void ReadExecutor::Finish(const FlowPointer& flow, ClientAnswer answer) {
--- a/Libraries/LibRequests/read_executor.h
+++ b/Libraries/LibRequests/read_executor.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "LibCore/life_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibRequests/client_request.h"
 #include "LibRequests/group_options.h"
@@ -51,7 +52,7 @@
   const GroupOptions& options;
   ReadRouter router;
   RetryBudget budget;
-  std::shared_ptr<bool> life = std::make_shared<bool>(true);
+  LifeGuard life;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibRequests/target_pool.cc
+++ b/Libraries/LibRequests/target_pool.cc
@@ -31,19 +31,10 @@
 }
 
 TargetPool::~TargetPool() {
-  *this->life = false;
   for (auto& [id, connection] : this->connections)
     connection.link->Close();
 }
 
-Scheduler::Task TargetPool::Guarded(Scheduler::Task task) {
-  return [life = std::weak_ptr<bool>(this->life), task = std::move(task)] {
-    const auto alive = life.lock();
-    if (alive && *alive)
-      task();
-  };
-}
-
 void TargetPool::Submit(const ApplicationName& application,
                         Priority priority,
                         TimePoint deadline,
@@ -134,17 +125,14 @@
   connection.use = use;
   connection.opened_at = this->scheduler.Now();
   TargetConnectionHandlers handlers;
-  const auto life = std::weak_ptr<bool>(this->life);
-  handlers.did_open = this->Guarded([this, id] { this->DidOpen(id); });
-  handlers.did_close = this->Guarded([this, id] { this->Drop(id); });
-  handlers.did_receive = [this, id, life](TargetResponse response) {
-    const auto alive = life.lock();
-    if (alive && *alive)
-      this->DidReceive(id, std::move(response));
-  };
+  handlers.did_open = this->life.Wrap([this, id] { this->DidOpen(id); });
+  handlers.did_close = this->life.Wrap([this, id] { this->Drop(id); });
+  handlers.did_receive = this->life.Wrap([this, id](TargetResponse response) {
+    this->DidReceive(id, std::move(response));
+  });
   connection.link = this->connector.Connect(this->target, std::move(handlers));
   this->scheduler.PostAfter(this->options.open_timeout,
-                            this->Guarded([this, id] {
+                            this->life.Wrap([this, id] {
                               const auto opening = this->connections.find(id);
                               if (opening != this->connections.end() &&
                                   opening->second.state == State::kOpening) {
@@ -217,7 +205,7 @@
   dropped.link->Close();
   const Use use = dropped.use;
   this->scheduler.PostAfter(this->options.reopen_delay,
-                            this->Guarded([this, use] { this->Open(use); }));
+                            this->life.Wrap([this, use] { this->Open(use); }));
   this->UpdateConcurrency();
   if (use == Use::kControl)
     this->did_lose();
@@ -254,7 +242,7 @@
   const TimePoint sent_at = this->scheduler.Now();
   const bool is_hello = request.operation == TargetOperation::kHello;
   const auto timer = this->scheduler.PostAfter(
-      timeout, this->Guarded([this, id, number, timeout] {
+      timeout, this->life.Wrap([this, id, number, timeout] {
         const auto found = this->connections.find(id);
         if (found == this->connections.end() ||
             !found->second.controls.contains(number)) {
@@ -311,7 +299,7 @@
   const Duration timeout =
       std::min(this->options.attempt_timeout, deadline - now);
   in_flight.timer =
-      this->scheduler.PostAfter(timeout, this->Guarded([this, id, number] {
+      this->scheduler.PostAfter(timeout, this->life.Wrap([this, id, number] {
         const auto found = this->connections.find(id);
         if (found == this->connections.end() || !found->second.in_flight ||
             found->second.in_flight->number != number) {
--- a/Libraries/LibRequests/target_pool.h
+++ b/Libraries/LibRequests/target_pool.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <variant>
 
+#include "LibCore/life_guard.h"
 #include "LibCore/names.h"
 #include "LibCore/scheduler.h"
 #include "LibFailover/adaptive_timeout.h"
@@ -152,9 +153,6 @@
   std::optional<ConnectionId> FindIdle() const;
   std::optional<ConnectionId> FindControl() const;
 
-  // Wraps a task so that it does nothing once this pool is gone.
-  Scheduler::Task Guarded(Scheduler::Task task);
-
   Scheduler& scheduler;
   TargetConnector& connector;
   TargetName target;
@@ -166,7 +164,7 @@
   ConnectionId next_connection = 1;
   uint64_t next_number = 1;
   uint64_t silent_connections = 0;
-  std::shared_ptr<bool> life = std::make_shared<bool>(true);
+  LifeGuard life;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibRequests/transaction_table.cc
+++ b/Libraries/LibRequests/transaction_table.cc
@@ -55,9 +55,7 @@
       random(random),
       options(options) {}
 
-TransactionTable::~TransactionTable() {
-  *this->life = false;
-}
+TransactionTable::~TransactionTable() = default;
 
 void TransactionTable::Begin(ClientRequest request, Reply reply) {
   auto flow = std::make_shared<BeginFlow>();
@@ -76,12 +74,9 @@
   const auto primary =
       WriteAdmission(this->options.admission).Admit(now, this->monitor.view());
   if (!primary) {
-    this->scheduler.PostAfter(
-        kBeginRetryDelay, [this, flow, life = std::weak_ptr<bool>(this->life)] {
-          const auto alive = life.lock();
-          if (alive && *alive)
-            this->AttemptBegin(flow);
-        });
+    this->scheduler.PostAfter(kBeginRetryDelay, this->life.Wrap([this, flow] {
+      this->AttemptBegin(flow);
+    }));
     return;
   }
   flow->primary = *primary;
--- a/Libraries/LibRequests/transaction_table.h
+++ b/Libraries/LibRequests/transaction_table.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "LibCore/life_guard.h"
 #include "LibCore/random_source.h"
 #include "LibCore/scheduler.h"
 #include "LibFailover/group_view.h"
@@ -87,7 +88,7 @@
   SeededRandom& random;
   const GroupOptions& options;
   std::map<TransactionId, Transaction> transactions;
-  std::shared_ptr<bool> life = std::make_shared<bool>(true);
+  LifeGuard life;
 };
 
 // Returns the VM that a transaction id names; empty when it names none.
--- a/Libraries/LibRequests/write_executor.cc
+++ b/Libraries/LibRequests/write_executor.cc
@@ -38,9 +38,7 @@
                              const GroupOptions& options)
     : scheduler(scheduler), monitor(monitor), log(log), options(options) {}
 
-WriteExecutor::~WriteExecutor() {
-  *this->life = false;
-}
+WriteExecutor::~WriteExecutor() = default;
 
 void WriteExecutor::Execute(ClientRequest request, Reply reply) {
   auto flow = std::make_shared<Flow>();
@@ -249,11 +247,7 @@
   const Duration delay = flow->retry_delay;
   flow->retry_delay = std::min(delay * 2, kLongestRetryDelay);
   this->scheduler.PostAfter(
-      delay, [this, flow, step, life = std::weak_ptr<bool>(this->life)] {
-        const auto alive = life.lock();
-        if (alive && *alive)
-          (this->*step)(flow);
-      });
+      delay, this->life.Wrap([this, flow, step] { (this->*step)(flow); }));
 }
 
 void WriteExecutor::Finish(const FlowPointer& flow, ClientAnswer answer) {
--- a/Libraries/LibRequests/write_executor.h
+++ b/Libraries/LibRequests/write_executor.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 
+#include "LibCore/life_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibRequests/client_request.h"
 #include "LibRequests/group_options.h"
@@ -69,7 +70,7 @@
   GroupMonitor& monitor;
   const DecisionLog& log;
   const GroupOptions& options;
-  std::shared_ptr<bool> life = std::make_shared<bool>(true);
+  LifeGuard life;
 };
 
 }  // namespace kingcupmill
--- a/Services/kingcupmilld.cc
+++ b/Services/kingcupmilld.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "LibArrangement/declaration_folder.h"
+#include "LibCore/json_log.h"
 #include "LibProxy/proxy_daemon.h"
 #include "LibToml/setting_error.h"
 #include "LibWire/http_server.h"
@@ -39,10 +40,8 @@
 
 void SetUpLog(const ProxySettings& settings) {
   spdlog::set_level(spdlog::level::from_str(settings.log_level));
-  if (settings.log_format == LogFormat::kJson) {
-    spdlog::set_pattern(
-        R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","message":"%v"})");
-  }
+  if (settings.log_format == LogFormat::kJson)
+    kingcupmill::UseJsonLog();
 }
 
 // Runs until SIGTERM or SIGINT, then drains.
