LibToml: Refuse misplaced characters before they reach the TOML library

Cause: random declarations under the undefined-behaviour sanitizer ended in an unreachable branch of toml++, which looks some characters outside of strings and comments up in tables that do not have them. TOML 1.0 allows no such character there.

Change: a scan refuses them with file and line; other scripts stay allowed in strings and comments.

--- a/Libraries/LibArrangement/arrangement_parser_test.cc
+++ b/Libraries/LibArrangement/arrangement_parser_test.cc
@@ -103,6 +103,11 @@
                                        "connections = 2")),
                       "not between 4"));
   }
+  SUBCASE("other scripts belong in strings and comments only") {
+    CHECK(ErrorsOf(Replace(kWhole, "gh-south\"", "ไทย\" # ชื่อ \"")).empty());
+    CHECK(
+        has_message(ErrorsOf(std::string(kWhole) + "\nชื่อ = 1\n"), "not ASCII"));
+  }
   SUBCASE("any text gives errors or an arrangement, never an end") {
     CHECK(rc::check([](std::string text) {
       ErrorsOf(text);
--- a/Libraries/LibToml/toml_section.cc
+++ b/Libraries/LibToml/toml_section.cc
@@ -6,6 +6,38 @@
 
 namespace kingcupmill {
 
+namespace {
+
+// Returns the line of the first character that is not ASCII and stands outside
+// of strings and comments, or 0. TOML 1.0 allows none there, and toml++ looks
+// some of them up in tables that do not have them, which is undefined.
+uint32_t FindMisplacedCharacter(std::string_view text) {
+  constexpr unsigned char kFirstNonAscii = 0x80;
+  constexpr char kOutside = 0;
+  // The character that ends the string or comment; kOutside outside of both.
+  char end = kOutside;
+  uint32_t line = 1;
+  for (size_t index = 0; index < text.size(); ++index) {
+    const char character = text[index];
+    if (character == '\n')
+      ++line;
+    if (end == '"' && character == '\\') {
+      ++index;
+    } else if (end != kOutside) {
+      end = character == end ? kOutside : end;
+    } else if (character == '"' || character == '\'') {
+      end = character;
+    } else if (character == '#') {
+      end = '\n';
+    } else if (static_cast<unsigned char>(character) >= kFirstNonAscii) {
+      return line;
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
 // Keeps the whole document alive while one of its tables is in use.
 struct TomlSection::Node {
   std::shared_ptr<const toml::table> document;
@@ -22,8 +54,15 @@
                                const std::string& file,
                                std::vector<SettingError>& errors) {
   auto document = std::make_shared<toml::table>();
+  const uint32_t misplaced = FindMisplacedCharacter(text);
   try {
-    *document = toml::parse(text);
+    if (misplaced == 0)
+      *document = toml::parse(text);
+    else
+      errors.push_back({{file, misplaced},
+                        "(syntax)",
+                        "a character that is not ASCII stands outside of "
+                        "strings and comments"});
   } catch (const toml::parse_error& error) {
     errors.push_back({{file, error.source().begin.line},
                       "(syntax)",
