Meta: Check that a large result arrives whole or not at all

Cause: the limit of a result was set but no run had reached it.

Change: the hostile requests ask for 200,000 rows, which must all arrive, and for 400,000, which must be refused as not run.

--- a/Meta/hostile.sh
+++ b/Meta/hostile.sh
@@ -39,6 +39,14 @@
 head -c 3000000 /dev/zero | tr '\0' 'a' >build/large_body.txt
 expect 413 -H "$app" -d @build/large_body.txt "$url"
 expect 413 -H "$app" -H 'Transfer-Encoding: chunked' -d @build/large_body.txt "$url"
+# A result arrives whole, or not at all when it is larger than the limit.
+rows() {
+  echo "{\"group\":\"restock-1\",\"access\":\"read\",\"deadline_ms\":15000,\"sql\":\"WITH RECURSIVE n(x) AS (SELECT 1 UNION ALL SELECT x + 1 FROM n WHERE x < $1) SELECT x, 'abcdefghijabcdefghijabcdefghijabcdefghijabcdefghij' FROM n\"}"
+}
+curl -s -m 20 -H "$app" -d "$(rows 200000)" "$url" >build/large_result.txt
+[ "$(grep -o 'abcdefghijabcdefghijabcdefghijabcdefghijabcdefghij"\]' build/large_result.txt | wc -l)" = 200000 ] ||
+  { echo "hostile: a large result is not whole" >&2; exit 1; }
+expect 400 -H "$app" -d "$(rows 400000)" "$url"
 # A request id used again with another statement is refused.
 expect 200 -H "$app" -H 'Idempotency-Key: order-1' -d '{"group":"restock-1","sql":"INSERT INTO freezer VALUES (9001, 1)"}' "$url"
 expect 200 -H "$app" -H 'Idempotency-Key: order-1' -d '{"group":"restock-1","sql":"INSERT INTO freezer VALUES (9001, 1)"}' "$url"
