LibProxy: Never answer a fate that could not be looked up

Cause: asking for the fate of a request was answered 'not_run' when the question itself failed: a proxy that reached no home, an application or group that is not declared, a malformed question. The caller reads that as the fate of the earlier request, which may have run. No test asked for a fate under failure.

Change: such answers say 'unknown'.

--- a/Libraries/LibProxy/caller_interface.cc
+++ b/Libraries/LibProxy/caller_interface.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::string_view kPrefix = "/v1/";
+constexpr std::string_view kFatePrefix = "/v1/requests/";
 constexpr const char* kSessionHeader = "Kingcupmill-Session";
 constexpr const char* kApplicationHeader = "Kingcupmill-Application";
 constexpr const char* kKeyHeader = "Idempotency-Key";
@@ -105,6 +106,9 @@
     ClientAnswer answer = NotRun(is_token_error ? ClientError::kInvalidToken
                                                 : ClientError::kInvalidRequest,
                                  error->message);
+    // A malformed question about an earlier request does not answer it.
+    if (http.path.starts_with(kFatePrefix))
+      answer.outcome = Outcome::kUnknown;
     HttpResponse response = this->Render(answer, SessionToken{}, GroupName{});
     if (error->code == ErrorCode::kNotFound)
       response.status = 404;
--- a/Libraries/LibProxy/proxy_core.cc
+++ b/Libraries/LibProxy/proxy_core.cc
@@ -21,6 +21,17 @@
   return text;
 }
 
+// Returns the answer to a request that is refused unsent. Refusing to look for
+// the fate of an earlier request says nothing about that request.
+ClientAnswer Refuse(const ClientRequest& request,
+                    ClientError error,
+                    std::string message) {
+  ClientAnswer answer = NotRun(error, std::move(message));
+  if (request.operation == ClientOperation::kFate)
+    answer.outcome = Outcome::kUnknown;
+  return answer;
+}
+
 }  // namespace
 
 struct ProxyCore::ForwardFlow {
@@ -169,21 +180,22 @@
   const auto application =
       this->in_force.applications.find(request.application);
   if (application == this->in_force.applications.end()) {
-    return reply(
-        NotRun(ClientError::kNotGranted, "the application is not declared"));
+    return reply(Refuse(request, ClientError::kNotGranted,
+                        "the application is not declared"));
   }
   if (!this->in_force.groups.contains(request.group)) {
-    return reply(
-        NotRun(ClientError::kNoSuchGroup, "the group is not declared"));
+    return reply(Refuse(request, ClientError::kNoSuchGroup,
+                        "the group is not declared"));
   }
   const auto& granted = application->second.groups;
   if (std::find(granted.begin(), granted.end(), request.group) ==
       granted.end()) {
-    return reply(NotRun(ClientError::kNotGranted,
+    return reply(Refuse(request, ClientError::kNotGranted,
                         "the application may not use the group"));
   }
   if (this->draining && request.operation == ClientOperation::kBegin) {
-    return reply(NotRun(ClientError::kDraining, "this proxy is shutting down"));
+    return reply(
+        Refuse(request, ClientError::kDraining, "this proxy is shutting down"));
   }
   request.priority =
       application->second.priority_class == ApplicationClass::kUrgent
@@ -238,6 +250,8 @@
   }
   auto flow = std::make_shared<ForwardFlow>();
   flow->deadline = this->scheduler.Now() + request.time_left;
+  // Not being able to ask says nothing about the request that is asked about.
+  flow->is_unsure = request.operation == ClientOperation::kFate;
   if (is_bound)
     flow->candidates = {transaction_home};
   else
--- a/Libraries/LibRequests/group_monitor.cc
+++ b/Libraries/LibRequests/group_monitor.cc
@@ -155,26 +155,33 @@
   return this->options.vm.value;
 }
 
+void GroupMonitor::SendTermRequest(const TargetName& target,
+                                   TargetRequest request,
+                                   DidAnswerTerm did_answer) {
+  request.proposer = this->Proposer();
+  const TimePoint sent_at = this->scheduler.Now();
+  this->pool(target).Control(
+      std::move(request),
+      [this, target, sent_at, did_answer = std::move(did_answer)](
+          const std::optional<TargetResponse>& response) {
+        if (!response)
+          return;
+        this->DidReceiveStatus(target, response->status, sent_at);
+        this->Run(did_answer(*response));
+      });
+}
+
 void GroupMonitor::Perform(const SealTarget& action) {
   TargetRequest request;
   request.operation = TargetOperation::kSeal;
   request.term = action.term;
-  request.proposer = this->Proposer();
-  const TimePoint sent_at = this->scheduler.Now();
-  this->pool(action.target)
-      .Control(
-          std::move(request),
-          [this, action,
-           sent_at](const std::optional<TargetResponse>& response) {
-            if (!response)
-              return;
-            const TimePoint now = this->scheduler.Now();
-            this->DidReceiveStatus(action.target, response->status, sent_at);
-            const bool is_granted = response->error == TargetErrorCode::kNone;
-            this->Run(this->promoter.DidReceiveSeal(
-                now, action.target, action.term, is_granted, response->status,
-                this->group_view));
-          });
+  this->SendTermRequest(action.target, std::move(request),
+                        [this, action](const TargetResponse& response) {
+                          return this->promoter.DidReceiveSeal(
+                              this->scheduler.Now(), action.target, action.term,
+                              response.error == TargetErrorCode::kNone,
+                              response.status, this->group_view);
+                        });
 }
 
 void GroupMonitor::Perform(const LeadTarget& action) {
@@ -186,22 +193,13 @@
   TargetRequest request;
   request.operation = TargetOperation::kLead;
   request.term = action.term;
-  request.proposer = this->Proposer();
   request.statements = LedgerMarker(action.term, action.target);
-  const TimePoint sent_at = this->scheduler.Now();
-  this->pool(action.target)
-      .Control(
-          std::move(request),
-          [this, action,
-           sent_at](const std::optional<TargetResponse>& response) {
-            if (!response)
-              return;
-            const TimePoint now = this->scheduler.Now();
-            this->DidReceiveStatus(action.target, response->status, sent_at);
-            const bool is_leading = response->error == TargetErrorCode::kNone;
-            this->Run(this->promoter.DidReceiveLead(now, action.target,
-                                                    action.term, is_leading));
-          });
+  this->SendTermRequest(action.target, std::move(request),
+                        [this, action](const TargetResponse& response) {
+                          return this->promoter.DidReceiveLead(
+                              this->scheduler.Now(), action.target, action.term,
+                              response.error == TargetErrorCode::kNone);
+                        });
 }
 
 void GroupMonitor::Perform(const HoldWrites& action) {
--- a/Libraries/LibRequests/group_monitor.h
+++ b/Libraries/LibRequests/group_monitor.h
@@ -60,6 +60,13 @@
                         const TargetStatus& status,
                         TimePoint sent_at);
   void Run(const std::vector<PromotionAction>& actions);
+  // Sends a request of a promotion; its answer is a status and leads to the
+  // promotion's next actions.
+  using DidAnswerTerm =
+      std::function<std::vector<PromotionAction>(const TargetResponse&)>;
+  void SendTermRequest(const TargetName& target,
+                       TargetRequest request,
+                       DidAnswerTerm did_answer);
   void Perform(const SealTarget& action);
   void Perform(const LeadTarget& action);
   void Perform(const HoldWrites& action);
