--- a/Libraries/LibArrangement/declaration_folder.cc
+++ b/Libraries/LibArrangement/declaration_folder.cc
@@ -34,7 +34,7 @@
   std::sort(paths.begin(), paths.end());
   std::vector<DeclarationFile> files;
   for (const std::string& path : paths) {
-    BOOST_LEAF_AUTO(text, ReadWholeFile(path));
+    KINGCUPMILL_TRY(text, ReadWholeFile(path));
     files.push_back({path, std::move(text)});
   }
   return files;
--- a/Libraries/LibConfiguration/publisher.h
+++ b/Libraries/LibConfiguration/publisher.h
@@ -53,9 +53,9 @@
                                  Revision base,
                                  std::string change_id,
                                  std::string author) {
-    BOOST_LEAF_AUTO(head_row, this->store.ReadRow(kHeadKey));
-    BOOST_LEAF_AUTO(head, DecodeChangeRecord(head_row.value));
-    BOOST_LEAF_AUTO(earlier, this->FindChange(head, change_id));
+    KINGCUPMILL_TRY(head_row, this->store.ReadRow(kHeadKey));
+    KINGCUPMILL_TRY(head, DecodeChangeRecord(head_row.value));
+    KINGCUPMILL_TRY(earlier, this->FindChange(head, change_id));
     if (earlier.revision.value != 0)
       return PublishOutcome{PublishOutcome::Kind::kPublished, earlier};
     if (head.revision != base)
@@ -69,20 +69,20 @@
       return PublishOutcome{PublishOutcome::Kind::kUnchanged, head};
     if (!head_row.value.empty()) {
       record.previous = DigestOfText(head_row.value);
-      BOOST_LEAF_CHECK(this->store.WriteBlob(record.previous, head_row.value));
+      KINGCUPMILL_CHECK(this->store.WriteBlob(record.previous, head_row.value));
     }
-    BOOST_LEAF_CHECK(this->store.WriteBlob(record.digest, text));
+    KINGCUPMILL_CHECK(this->store.WriteBlob(record.digest, text));
     return this->ReplaceHead(record, head_row.version);
   }
 
   // Returns the chain of records, newest first, at most `limit` of them.
   Result<std::vector<ChangeRecord>> History(size_t limit) {
-    BOOST_LEAF_AUTO(row, this->store.ReadRow(kHeadKey));
-    BOOST_LEAF_AUTO(record, DecodeChangeRecord(row.value));
+    KINGCUPMILL_TRY(row, this->store.ReadRow(kHeadKey));
+    KINGCUPMILL_TRY(record, DecodeChangeRecord(row.value));
     std::vector<ChangeRecord> history;
     while (record.revision.value != 0 && history.size() < limit) {
       history.push_back(record);
-      BOOST_LEAF_ASSIGN(record, this->Previous(record));
+      KINGCUPMILL_TRY_ASSIGN(record, this->Previous(record));
     }
     return history;
   }
@@ -103,9 +103,9 @@
         return PublishOutcome{PublishOutcome::Kind::kPublished, record};
       // The conflict may be with this very change, when an earlier attempt
       // took effect and only its answer was lost.
-      BOOST_LEAF_AUTO(row, this->store.ReadRow(kHeadKey));
-      BOOST_LEAF_AUTO(head, DecodeChangeRecord(row.value));
-      BOOST_LEAF_AUTO(found, this->FindChange(head, record.change_id));
+      KINGCUPMILL_TRY(row, this->store.ReadRow(kHeadKey));
+      KINGCUPMILL_TRY(head, DecodeChangeRecord(row.value));
+      KINGCUPMILL_TRY(found, this->FindChange(head, record.change_id));
       if (found.revision.value != 0)
         return PublishOutcome{PublishOutcome::Kind::kPublished, found};
       if (row.version != version)
@@ -122,7 +122,7 @@
     for (size_t count = 0; count < kSearchLimit; ++count) {
       if (record.revision.value == 0 || record.change_id == change_id)
         return record;
-      BOOST_LEAF_ASSIGN(record, this->Previous(record));
+      KINGCUPMILL_TRY_ASSIGN(record, this->Previous(record));
     }
     return ChangeRecord{};
   }
@@ -130,7 +130,7 @@
   Result<ChangeRecord> Previous(const ChangeRecord& record) {
     if (record.previous.empty())
       return ChangeRecord{};
-    BOOST_LEAF_AUTO(text, this->store.ReadBlob(record.previous));
+    KINGCUPMILL_TRY(text, this->store.ReadBlob(record.previous));
     return DecodeChangeRecord(text);
   }
 
--- /dev/null
+++ b/Libraries/LibCoordination/coordination_view.cc
@@ -0,0 +1,115 @@
+#include "LibCoordination/coordination_view.h"
+
+#include <spdlog/spdlog.h>
+
+#include <nlohmann/json.hpp>
+
+namespace kingcupmill {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kMemberPrefix = "member/";
+constexpr std::string_view kPrimaryPrefix = "primary/";
+
+}  // namespace
+
+std::string CoordinationView::MemberKey(std::string_view address) {
+  return std::string(kMemberPrefix) + std::string(address);
+}
+
+std::string CoordinationView::PrimaryKey(const GroupName& group) {
+  return std::string(kPrimaryPrefix) + group.value;
+}
+
+std::string CoordinationView::Encode(const MemberRecord& member) {
+  return json{{"vm", member.vm.value},
+              {"place", member.place.value},
+              {"incarnation", member.incarnation},
+              {"gone", member.is_gone}}
+      .dump();
+}
+
+std::string CoordinationView::Encode(const PrimaryRecord& primary) {
+  return json{{"term", primary.term.value},
+              {"primary", primary.primary.value},
+              {"closing", primary.state == PrimaryState::kClosing},
+              {"planned", primary.is_planned}}
+      .dump();
+}
+
+std::string CoordinationView::Encode(const DutyRecord& duty) {
+  return json{{"holder", duty.holder.value},
+              {"epoch", duty.epoch},
+              {"held", duty.is_held},
+              {"nonce", duty.nonce}}
+      .dump();
+}
+
+void CoordinationView::Update(const TableFollower::Rows& rows, TimePoint now) {
+  this->member_by_address.clear();
+  this->primary_records.clear();
+  for (const auto& [key, row] : rows) {
+    try {
+      this->DecodeRow(row, now);
+    } catch (const json::exception& exception) {
+      spdlog::error("event=bad_row table={} key={} error=\"{}\"", kTable, key,
+                    exception.what());
+    }
+  }
+  std::erase_if(this->gone_at_by_address, [this](const auto& entry) {
+    const auto member = this->member_by_address.find(entry.first);
+    return member == this->member_by_address.end() || !member->second.is_gone;
+  });
+}
+
+void CoordinationView::DecodeRow(const StoreRow& row, TimePoint now) {
+  const json value = json::parse(row.value);
+  if (row.key.starts_with(kMemberPrefix)) {
+    MemberRecord member;
+    member.address = row.key.substr(kMemberPrefix.size());
+    member.vm.value = value.at("vm");
+    member.place.value = value.at("place");
+    member.incarnation = value.at("incarnation");
+    member.is_gone = value.at("gone");
+    member.version = row.version;
+    if (member.is_gone)
+      this->gone_at_by_address.emplace(member.address, now);
+    this->member_by_address.emplace(member.address, std::move(member));
+    return;
+  }
+  if (row.key.starts_with(kPrimaryPrefix)) {
+    PrimaryRecord primary;
+    primary.group.value = row.key.substr(kPrimaryPrefix.size());
+    primary.term.value = value.at("term");
+    primary.primary.value = value.at("primary");
+    primary.state = value.at("closing").get<bool>() ? PrimaryState::kClosing
+                                                    : PrimaryState::kServing;
+    primary.is_planned = value.at("planned");
+    primary.version = row.version;
+    this->primary_records.push_back(std::move(primary));
+    return;
+  }
+  if (row.key == kDutyKey) {
+    DutyRecord duty;
+    duty.holder.value = value.at("holder");
+    duty.epoch = value.at("epoch");
+    duty.is_held = value.at("held");
+    duty.nonce = value.at("nonce");
+    duty.version = row.version;
+    if (duty.version != this->duty_record.version)
+      this->duty_changed_at = now;
+    this->duty_record = std::move(duty);
+  }
+}
+
+std::optional<TimePoint> CoordinationView::gone_seen_at(
+    const std::string& address) const {
+  const auto found = this->gone_at_by_address.find(address);
+  if (found == this->gone_at_by_address.end())
+    return std::nullopt;
+  return found->second;
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -0,0 +1,114 @@
+#ifndef LIBCOORDINATION_FAILOVER_AGENT_H_
+#define LIBCOORDINATION_FAILOVER_AGENT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibCoordination/coordination_view.h"
+#include "LibCoordination/duty_lease.h"
+#include "LibCoordination/handover.h"
+#include "LibCore/life_guard.h"
+#include "LibCore/scheduler.h"
+#include "LibDirectory/target_entry.h"
+#include "LibPeer/peer_links.h"
+
+namespace kingcupmill {
+
+// Decides when a group's primary is replaced, and by which proxy.
+//
+// A primary that leaves or is gone from the store is replaced at once. One that
+// does not answer is replaced when most members say the same: a proxy that is
+// cut off by itself must not move a primary that serves all others.
+class FailoverAgent {
+ public:
+  struct Context {
+    Scheduler& scheduler;
+    RowStore& store;
+    const CoordinationView& view;
+    PeerLinks& peers;
+    PromotionAuthority& authority;
+    EventJournal& journal;
+    VmName self;
+    std::string self_address;
+    std::string incarnation;
+    Duration lease_wait;
+    // All groups of the configuration in force.
+    std::function<std::vector<GroupName>()> groups;
+    std::function<GroupDispatcher*(const GroupName&)> find_group;
+    // All known targets of a group.
+    std::function<std::vector<TargetEntry>(const GroupName&)> targets;
+    // Whether a target that the store does not show is surely gone.
+    std::function<bool()> is_directory_certain;
+    std::function<bool(const PrimaryRecord&)> stop_locally;
+  };
+
+  explicit FailoverAgent(Context context);
+
+  // Goes on where something has changed. Called at short intervals.
+  void Tick();
+
+  // The table that all proxies share was read.
+  void DidChangeView() { this->duty.DidChangeView(); }
+
+  // A peer has answered or asked.
+  void DidHear(const std::string& address);
+
+  // Gives the duty up and starts nothing any more.
+  void Leave();
+
+  bool is_active() const { return !this->handovers.empty(); }
+  const DutyLease& duty_lease() const { return this->duty; }
+
+ private:
+  struct Suspicion {
+    TimePoint since{};
+    TimePoint asked_at{};
+    // How long each member has had no answer, by its last word.
+    std::map<std::string, HealthAnswer> answers;
+    std::map<std::string, TimePoint> answered_at;
+  };
+  // A plan to replace a primary, and why.
+  struct Trigger {
+    Handover::Reason reason = Handover::Reason::kLost;
+    Handover::Reopen reopen = Handover::Reopen::kAllowed;
+  };
+
+  void TickGroup(const GroupName& group);
+  void CreateRecord(const GroupName& group);
+  std::optional<Trigger> FindTrigger(const PrimaryRecord& record,
+                                     GroupDispatcher& dispatcher);
+  bool do_members_agree(const PrimaryRecord& record,
+                        GroupDispatcher& dispatcher);
+  void AskMembers(const GroupName& group, Suspicion& suspicion);
+  void StartHandover(const PrimaryRecord& record,
+                     GroupDispatcher& dispatcher,
+                     Trigger trigger);
+  void FinishHandovers();
+  void MarkGone(const std::string& address);
+  void PingMembers();
+  size_t Rank() const;
+  const PrimaryRecord* Find(const GroupName& group) const;
+
+  Context context;
+  DutyLease duty;
+  std::map<GroupName, std::unique_ptr<Handover>> handovers;
+  std::map<GroupName, Suspicion> suspicions;
+  std::map<GroupName, TimePoint> triggered_at;
+  std::map<GroupName, TimePoint> leaving_since;
+  std::map<GroupName, TimePoint> not_before;
+  std::map<GroupName, TimePoint> created_at;
+  std::map<std::string, TimePoint> heard_at;
+  TimePoint pinged_at{};
+  size_t next_ping = 0;
+  bool is_leaving = false;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBCOORDINATION_FAILOVER_AGENT_H_
--- a/Libraries/LibCore/error.h
+++ b/Libraries/LibCore/error.h
@@ -1,8 +1,8 @@
 #ifndef LIBCORE_ERROR_H_
 #define LIBCORE_ERROR_H_
 
-#include <boost/leaf.hpp>
 #include <string>
+#include <tl/expected.hpp>
 #include <utility>
 #include <variant>
 
@@ -18,19 +18,19 @@
   kInternal,
 };
 
-// Describes one failure; carried by Boost.LEAF to the handler.
+// Describes one failure.
 struct Error {
   ErrorCode code = ErrorCode::kInternal;
   std::string message;
 };
 
-// A value or an Error, propagated with BOOST_LEAF_AUTO and BOOST_LEAF_CHECK.
+// A value or an Error, propagated with KINGCUPMILL_TRY and its kin.
 template <typename T>
-using Result = boost::leaf::result<T>;
+using Result = tl::expected<T, Error>;
 
 // Returns a failed Result of any type.
-inline boost::leaf::error_id Fail(ErrorCode code, std::string message) {
-  return boost::leaf::new_error(Error{code, std::move(message)});
+inline tl::unexpected<Error> Fail(ErrorCode code, std::string message) {
+  return tl::make_unexpected(Error{code, std::move(message)});
 }
 
 // A value or an Error that can be stored and passed between threads.
@@ -41,17 +41,44 @@
 template <typename Operation>
 auto Capture(Operation&& operation) {
   using T = std::decay_t<decltype(operation().value())>;
-  return boost::leaf::try_handle_all(
-      [&]() -> Result<ValueOrError<T>> {
-        BOOST_LEAF_AUTO(value, operation());
-        return ValueOrError<T>(std::move(value));
-      },
-      [](const Error& error) { return ValueOrError<T>(error); },
-      [] {
-        return ValueOrError<T>(Error{ErrorCode::kInternal, "unknown error"});
-      });
+  auto result = operation();
+  if (!result)
+    return ValueOrError<T>(std::move(result).error());
+  return ValueOrError<T>(std::move(result).value());
+}
+
+// Runs `operation`, which returns Result<T>; `handle` turns its Error into a T.
+template <typename Operation, typename Handler>
+auto ValueOrHandled(Operation&& operation, Handler&& handle) {
+  auto result = operation();
+  if (!result)
+    return handle(result.error());
+  return std::move(result).value();
 }
 
 }  // namespace kingcupmill
 
+#define KINGCUPMILL_ERROR_JOIN_(a, b) a##b
+#define KINGCUPMILL_ERROR_NAME_(a, b) KINGCUPMILL_ERROR_JOIN_(a, b)
+#define KINGCUPMILL_TRY_(result, variable, expression)       \
+  auto result = (expression);                                \
+  if (!result)                                               \
+    return ::tl::make_unexpected(std::move(result).error()); \
+  variable = std::move(result).value()
+
+// Declares `name` with the value of `expression`, or returns its error.
+#define KINGCUPMILL_TRY(name, ...)                                        \
+  KINGCUPMILL_TRY_(KINGCUPMILL_ERROR_NAME_(result_, __LINE__), auto name, \
+                   (__VA_ARGS__))
+// Assigns the value of `expression` to `target`, or returns its error.
+#define KINGCUPMILL_TRY_ASSIGN(target, ...)                            \
+  KINGCUPMILL_TRY_(KINGCUPMILL_ERROR_NAME_(result_, __LINE__), target, \
+                   (__VA_ARGS__))
+// Returns the error of `expression` if it has one.
+#define KINGCUPMILL_CHECK(...)                                  \
+  do {                                                          \
+    if (auto checked = (__VA_ARGS__); !checked)                 \
+      return ::tl::make_unexpected(std::move(checked).error()); \
+  } while (false)
+
 #endif  // LIBCORE_ERROR_H_
--- a/Libraries/LibCore/time.h
+++ b/Libraries/LibCore/time.h
@@ -1,6 +1,8 @@
 #ifndef LIBCORE_TIME_H_
 #define LIBCORE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace kingcupmill {
@@ -13,10 +15,14 @@
 using std::chrono::duration_cast;
 using Milliseconds = std::chrono::milliseconds;
 
-// Returns the monotonic time of this process.
+// Returns the monotonic time of this process. It goes on while the machine is
+// suspended, so that a lease runs out for a process that was not running.
 inline TimePoint MonotonicNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 // Returns `duration` in whole milliseconds, rounded down.
--- /dev/null
+++ b/Libraries/LibDispatch/Forward.h
@@ -0,0 +1,15 @@
+#ifndef LIBDISPATCH_FORWARD_H_
+#define LIBDISPATCH_FORWARD_H_
+
+namespace kingcupmill {
+
+struct WorkOutcome;
+struct WorkRequest;
+class EventJournal;
+class GroupDispatcher;
+class OpenTransaction;
+class TargetView;
+
+}  // namespace kingcupmill
+
+#endif  // LIBDISPATCH_FORWARD_H_
--- /dev/null
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -0,0 +1,175 @@
+#ifndef LIBDISPATCH_GROUP_DISPATCHER_H_
+#define LIBDISPATCH_GROUP_DISPATCHER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <tuple>
+#include <vector>
+
+#include "LibCore/life_guard.h"
+#include "LibCore/names.h"
+#include "LibCore/scheduler.h"
+#include "LibDirectory/target_entry.h"
+#include "LibDispatch/Forward.h"
+#include "LibDispatch/work_request.h"
+#include "LibLink/target_channel.h"
+#include "LibPrimary/position_proofs.h"
+#include "LibPrimary/primary_leases.h"
+
+namespace kingcupmill {
+
+class LinkPool;
+class TargetLink;
+
+// Brings statements to the targets of one group: keeps the queue, chooses the
+// target, holds each answer against the lease on the primary.
+class GroupDispatcher {
+ public:
+  using WorkNumber = uint64_t;
+
+  GroupDispatcher(Scheduler& scheduler,
+                  TargetDialer& dialer,
+                  const PrimaryLeases& leases,
+                  EventJournal& journal,
+                  GroupName group,
+                  PlaceName place);
+  ~GroupDispatcher();
+
+  // Takes the group's targets and this proxy's share of the connections of one
+  // target.
+  void SetTargets(std::span<const TargetEntry> entries, size_t link_limit);
+
+  // Starts the work, or queues it. `did_finish` is called once, perhaps before
+  // this returns.
+  WorkNumber Submit(WorkRequest request, DidFinishWork did_finish);
+
+  // Drops work whose caller is gone. What has been sent runs on.
+  void Cancel(WorkNumber number);
+
+  // Is called when the leases have changed: ends transactions on a primary that
+  // may no longer be used, and starts work that waited for one.
+  void DidChangeLeases();
+
+  // Probes a primary that has been quiet, so that its silence means something.
+  // Called at short intervals.
+  void Tick();
+
+  // Takes a proof from another proxy.
+  void TakeProof(LogPoint point, TimePoint sent_at);
+
+  // How long the primary `record` has not answered this proxy.
+  Duration PrimarySilence() const;
+  // Whether the target that should lead refused to.
+  bool has_primary_denied() const { return this->did_primary_deny; }
+  // Whether a replica has answered within the last second.
+  bool hears_replicas() const;
+  // Statements and transactions on the primary that are not over.
+  size_t open_primary_work() const;
+
+  const PositionProofs& position_proofs() const { return this->proofs; }
+  const std::map<TargetName, std::shared_ptr<TargetView>>& targets() const {
+    return this->target_by_name;
+  }
+  size_t queue_length() const { return this->queue.size(); }
+
+  // A link for the proxy's own commands to a target, if one is open.
+  std::shared_ptr<TargetLink> ControlLink(const TargetName& target);
+
+  // For OpenTransaction.
+  bool may_use(const PrimaryRecord& record) const;
+  TimePoint Now() const { return this->scheduler.Now(); }
+  void DidReceiveFrom(TargetView& target,
+                      const StatementAnswer& answer,
+                      TimePoint sent_at);
+  void DidOpenTransaction(OpenTransaction* transaction);
+  void DidEndTransaction(OpenTransaction* transaction,
+                         const std::shared_ptr<TargetView>& target,
+                         const std::shared_ptr<TargetLink>& link);
+
+ private:
+  struct Work;
+  using WorkPointer = std::shared_ptr<Work>;
+  // Priority, then the time of receipt, then the number.
+  using QueueKey = std::tuple<int, TimePoint, WorkNumber>;
+  enum class StartResult { kStarted, kWaits, kNoTarget };
+  struct Choice {
+    std::shared_ptr<TargetView> target;
+    std::optional<LogPoint> required_position;
+    std::optional<PrimaryRecord> lease;
+  };
+
+  void Dispatch();
+  StartResult TryStart(const WorkPointer& work);
+  std::optional<Choice> Choose(Work& work, bool& may_come);
+  std::optional<Choice> ChoosePrimary(Work& work, bool& may_come);
+  std::optional<LogPoint> RequiredPosition(const Work& work) const;
+  void Start(const WorkPointer& work, Choice choice);
+  void Send(const WorkPointer& work,
+            const Choice& choice,
+            std::shared_ptr<TargetLink> link);
+  void DidProbe(const WorkPointer& work,
+                const Choice& choice,
+                std::shared_ptr<TargetLink> link,
+                bool is_alive);
+  void DidReceive(const WorkPointer& work,
+                  const Choice& choice,
+                  const std::shared_ptr<TargetLink>& link,
+                  TimePoint sent_at,
+                  std::optional<StatementAnswer> answer);
+  void DidReceiveError(const WorkPointer& work,
+                       const Choice& choice,
+                       StatementAnswer answer);
+  void Requeue(const WorkPointer& work);
+  void Enqueue(const WorkPointer& work);
+  void DidWaitTooLong(const WorkPointer& work);
+  void Refuse(const WorkPointer& work,
+              StatementErrorCode code,
+              const char* reason);
+  void Finish(const WorkPointer& work, WorkOutcome outcome);
+  Duration ComeBackAfter() const;
+  void Release(const std::shared_ptr<TargetView>& target,
+               const std::shared_ptr<TargetLink>& link);
+  void RollBack(const std::shared_ptr<TargetView>& target,
+                const std::shared_ptr<TargetLink>& link);
+  bool is_usable(const TargetView& target) const;
+  void Prune();
+
+  Scheduler& scheduler;
+  TargetDialer& dialer;
+  const PrimaryLeases& leases;
+  EventJournal& journal;
+  GroupName group;
+  PlaceName place;
+  PositionProofs proofs;
+  std::map<TargetName, std::shared_ptr<TargetView>> target_by_name;
+  // Targets that are gone but still have links that carry work.
+  std::vector<std::shared_ptr<TargetView>> retired;
+  std::map<QueueKey, WorkPointer> queue;
+  std::map<WorkNumber, WorkPointer> work_by_number;
+  std::set<OpenTransaction*> transactions;
+  // Statements outside transactions that were sent to the primary.
+  struct AtPrimary {
+    std::shared_ptr<TargetLink> link;
+    PrimaryRecord lease;
+  };
+  std::map<WorkNumber, AtPrimary> at_primary;
+  WorkNumber next_number = 1;
+  bool is_dispatching = false;
+  bool has_more_to_dispatch = false;
+  TimePoint last_request_at{};
+  TimePoint primary_answered_at{};
+  TimePoint primary_known_since{};
+  TargetName primary_name;
+  Term primary_term;
+  TimePoint probed_at{};
+  bool did_primary_deny = false;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBDISPATCH_GROUP_DISPATCHER_H_
--- /dev/null
+++ b/Libraries/LibDispatch/open_transaction.h
@@ -0,0 +1,84 @@
+#ifndef LIBDISPATCH_OPEN_TRANSACTION_H_
+#define LIBDISPATCH_OPEN_TRANSACTION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "LibCore/life_guard.h"
+#include "LibCore/scheduler.h"
+#include "LibDirectory/route_table.h"
+#include "LibLink/target_link.h"
+#include "LibPrimary/primary_record.h"
+#include "LibStatement/session_record.h"
+#include "LibStatement/statement_answer.h"
+
+namespace kingcupmill {
+
+class GroupDispatcher;
+class TargetView;
+
+// One caller's transaction on the connection that it holds. Destroying it rolls
+// back what was not committed.
+class OpenTransaction {
+ public:
+  using DidAnswer = std::function<void(StatementAnswer)>;
+
+  // `lease` is the primary on which it runs; nothing for a read-only one that
+  // any target may run.
+  OpenTransaction(GroupDispatcher& dispatcher,
+                  std::shared_ptr<TargetView> target,
+                  std::shared_ptr<TargetLink> link,
+                  CallerRoute route,
+                  std::optional<PrimaryRecord> lease);
+  ~OpenTransaction();
+  OpenTransaction(const OpenTransaction&) = delete;
+  OpenTransaction& operator=(const OpenTransaction&) = delete;
+
+  enum class Step { kRead, kWrite, kCommit };
+
+  // Runs one statement; one at a time.
+  void Run(const SessionRecord& record,
+           TargetCommand command,
+           Step step,
+           DidAnswer did_answer);
+
+  // Whether the connection is gone, and everything with it rolled back.
+  bool is_lost() const { return this->link->is_closed(); }
+
+  // The position of the log after a commit that wrote.
+  std::optional<LogPoint> committed_point() const { return this->committed; }
+
+  // Whether a write may have run in it.
+  bool has_written() const { return this->did_write; }
+
+  // Whether a statement has been sent and not answered.
+  bool is_busy() const { return this->is_running; }
+
+  // Ends it now, as a lease that lapses does.
+  void Abort() { this->link->Close(); }
+
+  const std::optional<PrimaryRecord>& primary_lease() const {
+    return this->lease;
+  }
+
+ private:
+  void DidReceive(Step step,
+                  TimePoint sent_at,
+                  std::optional<StatementAnswer> answer,
+                  const DidAnswer& did_answer);
+
+  GroupDispatcher& dispatcher;
+  std::shared_ptr<TargetView> target;
+  std::shared_ptr<TargetLink> link;
+  CallerRoute route;
+  std::optional<PrimaryRecord> lease;
+  bool did_write = false;
+  bool is_running = false;
+  std::optional<LogPoint> committed;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBDISPATCH_OPEN_TRANSACTION_H_
--- /dev/null
+++ b/Libraries/LibGateway/gateway.cc
@@ -0,0 +1,480 @@
+#include "LibGateway/gateway.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "LibDispatch/open_transaction.h"
+#include "LibDispatch/target_view.h"
+#include "LibStatement/error_names.h"
+
+namespace kingcupmill {
+
+namespace {
+
+// How long a read of the store gives the right to use a primary. Longer leases
+// bridge outages of the store; shorter ones end the wait for a proxy that does
+// not answer.
+constexpr Duration kLeaseLength = std::chrono::seconds(6);
+// Added to the wait for leases to run out, for timers that fire late.
+constexpr Duration kLeaseSlack = std::chrono::milliseconds(300);
+// Long polls renew leases, so they are a fraction of a lease.
+constexpr Duration kFollowInterval = std::chrono::milliseconds(1500);
+// A leaving target is to get no new work after some seconds.
+constexpr Duration kTargetsInterval = std::chrono::milliseconds(900);
+// Copies are asked from another proxy when the store has not answered for
+// longer than a long poll takes.
+constexpr Duration kCopyAfter = std::chrono::milliseconds(2200);
+constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+constexpr Duration kCopyTimeout = std::chrono::milliseconds(600);
+// Between two looks at what may have changed by time alone.
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kBusyTickInterval = std::chrono::milliseconds(20);
+// Connections of a target that are kept for proxies that join or come back.
+constexpr int kReservedConnections = 2;
+// Entries of targets that lapsed with the store are back by then.
+constexpr Duration kDirectoryCertainAfter = std::chrono::milliseconds(3000);
+// New sessions stop coming about two seconds after the proxy says that it is
+// not ready; idle sessions closed before would come back here.
+constexpr Duration kDrainNotice = std::chrono::milliseconds(2300);
+// What is left of the time to stop for the last answers and the store.
+constexpr Duration kDrainReserve = std::chrono::milliseconds(700);
+// Sessions at rest that are closed in one tick of a drain, so that their owners
+// do not all reconnect at once.
+constexpr size_t kSessionsClosedPerTick = 8;
+
+TableFollower::Options FollowOptions(std::string table) {
+  TableFollower::Options options;
+  options.table = std::move(table);
+  options.mode = TableFollower::Mode::kWait;
+  options.interval = kFollowInterval;
+  return options;
+}
+
+TableFollower::Options PollOptions(std::string table) {
+  TableFollower::Options options;
+  options.table = std::move(table);
+  options.mode = TableFollower::Mode::kPoll;
+  options.interval = kTargetsInterval;
+  return options;
+}
+
+MemberRecord SelfRecord(const Gateway::Options& options) {
+  MemberRecord self;
+  self.address = options.peer_address;
+  self.vm = options.vm;
+  self.place = options.place;
+  self.incarnation = options.incarnation;
+  return self;
+}
+
+}  // namespace
+
+Gateway::Gateway(Options options, Surroundings surroundings)
+    : options(std::move(options)),
+      around(surroundings),
+      random(this->options.random_seed),
+      journal(surroundings.scheduler),
+      configuration(surroundings.scheduler,
+                    surroundings.store,
+                    FollowOptions(surroundings.codec.configuration_table()),
+                    [this] { this->DidReadConfiguration(); }),
+      targets(surroundings.scheduler,
+              surroundings.store,
+              PollOptions(surroundings.codec.targets_table()),
+              [this] { this->DidReadTargets(); }),
+      coordination(surroundings.scheduler,
+                   surroundings.store,
+                   FollowOptions(std::string(CoordinationView::kTable)),
+                   [this] { this->DidReadCoordination(); }),
+      leases(kLeaseLength),
+      registration(surroundings.scheduler,
+                   surroundings.store,
+                   this->view,
+                   SelfRecord(this->options)),
+      failover(FailoverAgent::Context{
+          surroundings.scheduler, surroundings.store, this->view,
+          surroundings.peers, surroundings.authority, this->journal,
+          this->options.vm, this->options.peer_address,
+          this->options.incarnation, kLeaseLength + kLeaseSlack,
+          [this] {
+            std::vector<GroupName> names;
+            for (const auto& [name, dispatcher] : this->dispatchers)
+              names.push_back(name);
+            return names;
+          },
+          [this](const GroupName& group) { return this->FindGroup(group); },
+          [this](const GroupName& group) { return this->TargetsOf(group); },
+          [this] {
+            const auto steady = this->targets.steady_since();
+            return steady && this->around.scheduler.Now() - *steady >
+                                 kDirectoryCertainAfter;
+          },
+          [this](const PrimaryRecord& record) {
+            return this->StopPrimary(record);
+          }}) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::Start() {
+  this->configuration.Start();
+  this->targets.Start();
+  this->coordination.Start();
+  this->Tick();
+}
+
+bool Gateway::is_ready() const {
+  return this->routes.has_value() && !this->draining_since;
+}
+
+Revision Gateway::revision() const {
+  return this->routes ? this->routes->revision : Revision{};
+}
+
+std::unique_ptr<GatewaySession> Gateway::OpenSession(
+    CallerChannel& channel,
+    std::string_view database) {
+  if (!this->FindRoute(database))
+    return nullptr;
+  auto session = std::make_unique<GatewaySession>(
+      this->around.scheduler, *this, channel, std::string(database));
+  this->sessions.emplace(session.get(), &channel);
+  return session;
+}
+
+void Gateway::DidCloseSession(GatewaySession* session) {
+  this->sessions.erase(session);
+}
+
+const CallerRoute* Gateway::FindRoute(std::string_view database) const {
+  if (!this->routes)
+    return nullptr;
+  const auto found = this->routes->route_by_database.find(database);
+  return found == this->routes->route_by_database.end() ? nullptr
+                                                        : &found->second;
+}
+
+GroupDispatcher* Gateway::FindGroup(const GroupName& group) {
+  const auto found = this->dispatchers.find(group);
+  return found == this->dispatchers.end() ? nullptr : found->second.get();
+}
+
+Duration Gateway::transaction_idle_limit() const {
+  return this->routes ? this->routes->transaction_idle_limit
+                      : RouteTable{}.transaction_idle_limit;
+}
+
+void Gateway::DidAnswerCaller(const CallerStatement& statement,
+                              const StatementAnswer& answer,
+                              TimePoint received_at) {
+  const Duration elapsed = this->around.scheduler.Now() - received_at;
+  this->metrics.DidAnswer(answer, elapsed);
+  if (!answer.error)
+    return;
+  this->journal.Write(EventJournal::Kind::kFailed,
+                      "event=answered_error request={} code={} message=\"{}\" "
+                      "elapsed_ms={}",
+                      statement.id, ToString(answer.error->code),
+                      answer.error->message, ToMilliseconds(elapsed));
+}
+
+void Gateway::DidReadConfiguration() {
+  Result<RouteTable> decoded =
+      this->around.codec.DecodeRoutes(this->configuration.rows());
+  if (!decoded) {
+    if (decoded.error().code != ErrorCode::kNotFound)
+      spdlog::error("event=configuration_unreadable error=\"{}\"",
+                    decoded.error().message);
+    return;
+  }
+  // A configuration never goes back.
+  if (this->routes && decoded->revision <= this->routes->revision)
+    return;
+  spdlog::info("event=configuration revision={} routes={} groups={}",
+               decoded->revision.value, decoded->route_by_database.size(),
+               decoded->groups.size());
+  this->routes = std::move(*decoded);
+  this->UpdateDispatchers();
+}
+
+void Gateway::DidReadTargets() {
+  const TimePoint now = this->around.scheduler.Now();
+  std::optional<Duration> steady_for;
+  if (const auto since = this->targets.steady_since())
+    steady_for = now - *since;
+  this->directory.DidRead(
+      this->around.codec.DecodeTargets(this->targets.rows()), steady_for);
+  this->UpdateDispatchers();
+}
+
+void Gateway::DidReadCoordination() {
+  const TimePoint now = this->around.scheduler.Now();
+  this->view.Update(this->coordination.rows(), now);
+  this->leases.DidRead(this->view.primaries(), this->coordination.read_at(),
+                       this->registration.is_registered(), now);
+  this->failover.DidChangeView();
+  this->registration.Tick();
+  this->UpdateDispatchers();
+  for (auto& [group, dispatcher] : this->dispatchers)
+    dispatcher->DidChangeLeases();
+}
+
+std::vector<TargetEntry> Gateway::TargetsOf(const GroupName& group) const {
+  std::vector<TargetEntry> entries;
+  for (const auto& [name, entry] : this->directory.targets()) {
+    if (entry.group == group)
+      entries.push_back(entry);
+  }
+  return entries;
+}
+
+size_t Gateway::LinkLimit(const GroupName& group) const {
+  const auto declared = this->routes->groups.find(group);
+  if (declared == this->routes->groups.end())
+    return 0;
+  const auto& members = this->view.members();
+  const auto live =
+      std::count_if(members.begin(), members.end(),
+                    [](const auto& member) { return !member.second.is_gone; });
+  const int share =
+      (declared->second.maximum_connections - kReservedConnections) /
+      std::max(static_cast<int>(live), 1);
+  return static_cast<size_t>(std::max(share, 1));
+}
+
+void Gateway::UpdateDispatchers() {
+  if (!this->routes)
+    return;
+  for (const auto& [group, declaration] : this->routes->groups) {
+    auto& dispatcher = this->dispatchers[group];
+    if (!dispatcher)
+      dispatcher = std::make_unique<GroupDispatcher>(
+          this->around.scheduler, this->around.dialer, this->leases,
+          this->journal, group, this->options.place);
+    dispatcher->SetTargets(this->TargetsOf(group), this->LinkLimit(group));
+  }
+}
+
+void Gateway::Tick() {
+  this->registration.Tick();
+  for (auto& [group, dispatcher] : this->dispatchers)
+    dispatcher->Tick();
+  this->failover.Tick();
+  this->AskForCopies();
+  this->TickDrain();
+  this->around.scheduler.PostAfter(
+      this->failover.is_active() ? kBusyTickInterval : kTickInterval,
+      this->life.Wrap([this] { this->Tick(); }));
+}
+
+void Gateway::AskForCopies() {
+  const TimePoint now = this->around.scheduler.Now();
+  const bool is_current = now - this->coordination.read_at() < kCopyAfter &&
+                          this->routes.has_value();
+  if (is_current || now - this->asked_for_copies_at < kCopyInterval)
+    return;
+  std::vector<std::string> others;
+  for (const auto& [address, member] : this->view.members()) {
+    if (address != this->options.peer_address && !member.is_gone)
+      others.push_back(address);
+  }
+  if (others.empty())
+    others = this->options.seed_addresses;
+  std::erase(others, this->options.peer_address);
+  if (others.empty())
+    return;
+  this->asked_for_copies_at = now;
+  CopyQuery query;
+  query.versions = {this->configuration.version().value_or(0),
+                    this->targets.version().value_or(0),
+                    this->coordination.version().value_or(0)};
+  this->around.peers.Ask(
+      others.at(this->random.Below(others.size())), query, kCopyTimeout,
+      this->life.Wrap([this, now](std::optional<PeerAnswer> answer) {
+        if (!answer)
+          return;
+        if (const auto* copies = std::get_if<CopyAnswer>(&*answer))
+          this->TakeCopies(*copies, now);
+      }));
+}
+
+CopyAnswer Gateway::MakeCopies(const CopyQuery& query) const {
+  const TimePoint now = this->around.scheduler.Now();
+  CopyAnswer answer;
+  size_t index = 0;
+  for (const auto& [name, follower] :
+       {std::pair(this->around.codec.configuration_table(),
+                  &this->configuration),
+        std::pair(this->around.codec.targets_table(), &this->targets),
+        std::pair(std::string(CoordinationView::kTable),
+                  &this->coordination)}) {
+    const uint64_t known =
+        index < query.versions.size() ? query.versions[index] : 0;
+    ++index;
+    if (!follower->version())
+      continue;
+    TableCopy copy;
+    copy.table = name;
+    copy.version = *follower->version();
+    copy.age = now - follower->read_at();
+    if (copy.version > known) {
+      copy.rows.emplace();
+      copy.rows->version = copy.version;
+      for (const auto& [key, row] : follower->rows())
+        copy.rows->rows.push_back(row);
+    }
+    answer.tables.push_back(std::move(copy));
+  }
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    const auto newest = dispatcher->position_proofs().newest_at();
+    if (!newest)
+      continue;
+    const auto position =
+        dispatcher->position_proofs().Covering(*newest, Term{});
+    if (position)
+      answer.proofs.push_back(ProofCopy{group, *position, now - *newest});
+  }
+  return answer;
+}
+
+void Gateway::TakeCopies(const CopyAnswer& answer, TimePoint asked_at) {
+  const std::map<std::string, TableFollower*> followers = {
+      {this->around.codec.configuration_table(), &this->configuration},
+      {this->around.codec.targets_table(), &this->targets},
+      {std::string(CoordinationView::kTable), &this->coordination}};
+  for (const TableCopy& copy : answer.tables) {
+    const auto follower = followers.find(copy.table);
+    if (follower == followers.end())
+      continue;
+    // The answer was made after the question was sent, so its ages count from
+    // there.
+    const TimePoint read_at = asked_at - copy.age;
+    if (copy.rows) {
+      follower->second->TakeCopy(*copy.rows, read_at);
+      continue;
+    }
+    // The same version: only the time of reading is new.
+    if (follower->second->version() == copy.version)
+      follower->second->Confirm(read_at);
+  }
+  for (const ProofCopy& proof : answer.proofs) {
+    if (GroupDispatcher* dispatcher = this->FindGroup(proof.group))
+      dispatcher->TakeProof(proof.position, asked_at - proof.age);
+  }
+}
+
+bool Gateway::StopPrimary(const PrimaryRecord& record) {
+  const TimePoint now = this->around.scheduler.Now();
+  this->leases.DidRead(std::span<const PrimaryRecord>(&record, 1), now, false,
+                       now);
+  GroupDispatcher* dispatcher = this->FindGroup(record.group);
+  if (!dispatcher)
+    return true;
+  const bool has_grace = now < this->leases.EndOf(record.group);
+  if (has_grace && dispatcher->open_primary_work() > 0)
+    return false;
+  this->leases.Stop(record.group);
+  dispatcher->DidChangeLeases();
+  return true;
+}
+
+CloseAnswer Gateway::HandleClose(const CloseQuery& query) {
+  const PrimaryRecord* newest = this->leases.Find(query.record.group);
+  // It has been replaced, or reopened, since the question was sent.
+  if (newest && newest->version > query.record.version)
+    return CloseAnswer{newest->term > query.record.term};
+  return CloseAnswer{this->StopPrimary(query.record)};
+}
+
+HealthAnswer Gateway::HandleHealth(const HealthQuery& query) {
+  HealthAnswer answer;
+  answer.incarnation = this->options.incarnation;
+  if (GroupDispatcher* dispatcher = this->FindGroup(query.group)) {
+    answer.primary_silence = dispatcher->PrimarySilence();
+    answer.hears_replicas = dispatcher->hears_replicas();
+  }
+  return answer;
+}
+
+void Gateway::HandleQuery(const PeerQuery& query,
+                          const PeerLinks::Answer& answer) {
+  if (const auto* copy = std::get_if<CopyQuery>(&query))
+    return answer(this->MakeCopies(*copy));
+  if (const auto* close = std::get_if<CloseQuery>(&query))
+    return answer(this->HandleClose(*close));
+  answer(this->HandleHealth(std::get<HealthQuery>(query)));
+}
+
+void Gateway::Drain(std::function<void()> did_drain) {
+  if (this->draining_since)
+    return;
+  spdlog::info("event=drain sessions={}", this->sessions.size());
+  this->draining_since = this->around.scheduler.Now();
+  this->did_drain = std::move(did_drain);
+  this->failover.Leave();
+}
+
+void Gateway::TickDrain() {
+  if (!this->draining_since || !this->did_drain)
+    return;
+  const Duration elapsed = this->around.scheduler.Now() - *this->draining_since;
+  const Duration notice =
+      std::min<Duration>(kDrainNotice, this->options.drain_limit * 4 / 10);
+  if (elapsed < notice)
+    return;
+  size_t closed = 0;
+  const bool is_late = elapsed >= this->options.drain_limit / 2;
+  const std::map<GatewaySession*, CallerChannel*> open = this->sessions;
+  for (const auto& [session, channel] : open) {
+    if (!this->sessions.contains(session))
+      continue;
+    // Open transactions have the first half of the time.
+    if (is_late && session->is_in_transaction())
+      session->AbortTransaction("the proxy is shutting down");
+    if (!session->is_at_rest() || closed >= kSessionsClosedPerTick)
+      continue;
+    ++closed;
+    channel->Close();
+  }
+  const bool is_over = elapsed >= this->options.drain_limit - kDrainReserve;
+  if (this->sessions.empty() || is_over)
+    this->FinishDrain();
+}
+
+void Gateway::FinishDrain() {
+  spdlog::info("event=drained sessions_left={}", this->sessions.size());
+  this->leases.Drop(TimePoint::max());
+  for (auto& [group, dispatcher] : this->dispatchers)
+    dispatcher->DidChangeLeases();
+  this->registration.Leave();
+  const auto tell = std::exchange(this->did_drain, nullptr);
+  tell();
+}
+
+std::string Gateway::FormatMetrics() const {
+  const TimePoint now = this->around.scheduler.Now();
+  std::string text = this->metrics.Format();
+  text += fmt::format(
+      "kingcupmill_revision {}\nkingcupmill_sessions {}\n"
+      "kingcupmill_store_silence_seconds {:.3f}\n"
+      "kingcupmill_duty_held {}\n",
+      this->revision().value, this->sessions.size(),
+      std::chrono::duration<double>(now -
+                                    this->coordination.store_answered_at())
+          .count(),
+      this->failover.duty_lease().is_held() ? 1 : 0);
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    const auto lease = this->leases.ValidAt(group, now);
+    text += fmt::format(
+        "kingcupmill_lease_held{{group=\"{0}\"}} {1}\n"
+        "kingcupmill_queue{{group=\"{0}\"}} {2}\n"
+        "kingcupmill_primary_silence_seconds{{group=\"{0}\"}} {3:.3f}\n",
+        group.value, lease ? 1 : 0, dispatcher->queue_length(),
+        std::chrono::duration<double>(dispatcher->PrimarySilence()).count());
+  }
+  return text;
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibGateway/gateway.h
@@ -0,0 +1,139 @@
+#ifndef LIBGATEWAY_GATEWAY_H_
+#define LIBGATEWAY_GATEWAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCoordination/coordination_view.h"
+#include "LibCoordination/failover_agent.h"
+#include "LibCoordination/member_registration.h"
+#include "LibCore/life_guard.h"
+#include "LibCore/random_source.h"
+#include "LibCore/scheduler.h"
+#include "LibDirectory/directory_codec.h"
+#include "LibDirectory/target_directory.h"
+#include "LibDispatch/event_journal.h"
+#include "LibGateway/gateway_metrics.h"
+#include "LibGateway/gateway_session.h"
+#include "LibPeer/peer_links.h"
+#include "LibPrimary/primary_leases.h"
+#include "LibTables/table_follower.h"
+
+namespace kingcupmill {
+
+// One proxy without its sockets: sessions on one side, targets, the store and
+// other proxies on the other.
+class Gateway final : public SessionHost {
+ public:
+  struct Options {
+    VmName vm;
+    PlaceName place;
+    // Where other proxies reach this one ("IP:port").
+    std::string peer_address;
+    // Other proxies to learn from while the store cannot be reached.
+    std::vector<std::string> seed_addresses;
+    // Tells this start from every other; unique.
+    std::string incarnation;
+    uint64_t random_seed = 0;
+    // How long the process has between the signal to stop and its end.
+    Duration drain_limit = std::chrono::seconds(6);
+  };
+
+  struct Surroundings {
+    Scheduler& scheduler;
+    RowStore& store;
+    TargetDialer& dialer;
+    PeerLinks& peers;
+    PromotionAuthority& authority;
+    const DirectoryCodec& codec;
+  };
+
+  Gateway(Options options, Surroundings surroundings);
+  ~Gateway() override;
+
+  void Start();
+
+  // Whether new sessions should come here.
+  bool is_ready() const;
+
+  // Whether a configuration is known.
+  bool has_routes() const { return this->routes.has_value(); }
+
+  // Opens a session on `database`, or returns null when it is not declared.
+  std::unique_ptr<GatewaySession> OpenSession(CallerChannel& channel,
+                                              std::string_view database);
+  void DidCloseSession(GatewaySession* session);
+
+  // Answers another proxy.
+  void HandleQuery(const PeerQuery& query, const PeerLinks::Answer& answer);
+
+  // Ends what is open and tells `did_drain` when nothing is left, or when the
+  // time is over.
+  void Drain(std::function<void()> did_drain);
+
+  std::string FormatMetrics() const;
+
+  const std::string& incarnation() const { return this->options.incarnation; }
+
+  // SessionHost:
+  const CallerRoute* FindRoute(std::string_view database) const override;
+  GroupDispatcher* FindGroup(const GroupName& group) override;
+  Duration transaction_idle_limit() const override;
+  void DidAnswerCaller(const CallerStatement& statement,
+                       const StatementAnswer& answer,
+                       TimePoint received_at) override;
+
+  // For tests and the status page.
+  const PrimaryLeases& primary_leases() const { return this->leases; }
+  const CoordinationView& coordination_view() const { return this->view; }
+  Revision revision() const;
+
+ private:
+  void DidReadConfiguration();
+  void DidReadTargets();
+  void DidReadCoordination();
+  void UpdateDispatchers();
+  void Tick();
+  void AskForCopies();
+  void TakeCopies(const CopyAnswer& answer, TimePoint asked_at);
+  CopyAnswer MakeCopies(const CopyQuery& query) const;
+  bool StopPrimary(const PrimaryRecord& record);
+  CloseAnswer HandleClose(const CloseQuery& query);
+  HealthAnswer HandleHealth(const HealthQuery& query);
+  std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
+  size_t LinkLimit(const GroupName& group) const;
+  void TickDrain();
+  void FinishDrain();
+
+  Options options;
+  Surroundings around;
+  SeededRandom random;
+  EventJournal journal;
+  GatewayMetrics metrics;
+  TableFollower configuration;
+  TableFollower targets;
+  TableFollower coordination;
+  CoordinationView view;
+  PrimaryLeases leases;
+  TargetDirectory directory;
+  std::optional<RouteTable> routes;
+  std::map<GroupName, std::unique_ptr<GroupDispatcher>> dispatchers;
+  MemberRegistration registration;
+  FailoverAgent failover;
+  std::map<GatewaySession*, CallerChannel*> sessions;
+  TimePoint asked_for_copies_at{};
+  std::optional<TimePoint> draining_since;
+  std::function<void()> did_drain;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBGATEWAY_GATEWAY_H_
--- /dev/null
+++ b/Libraries/LibGateway/gateway_session.cc
@@ -0,0 +1,364 @@
+#include "LibGateway/gateway_session.h"
+
+#include <utility>
+
+namespace kingcupmill {
+
+namespace {
+
+// Statements that a caller may send ahead of their answers; callers of today
+// send one at a time.
+constexpr size_t kMaximumWaiting = 64;
+
+}  // namespace
+
+GatewaySession::GatewaySession(Scheduler& scheduler,
+                               SessionHost& host,
+                               CallerChannel& channel,
+                               std::string database)
+    : scheduler(scheduler),
+      host(host),
+      channel(channel),
+      database(std::move(database)) {}
+
+GatewaySession::~GatewaySession() {
+  if (this->idle_timer != 0)
+    this->scheduler.Cancel(this->idle_timer);
+  if (this->work_group)
+    this->work_group->Cancel(this->work_number);
+}
+
+void GatewaySession::DidReceive(CallerStatement statement) {
+  if (this->waiting.size() >= kMaximumWaiting)
+    return this->channel.Close();
+  this->waiting.push_back(std::move(statement));
+  this->Next();
+}
+
+void GatewaySession::Next() {
+  if (this->current || this->waiting.empty())
+    return;
+  this->current = std::move(this->waiting.front());
+  this->waiting.pop_front();
+  this->received_at = this->scheduler.Now();
+  if (this->idle_timer != 0)
+    this->scheduler.Cancel(std::exchange(this->idle_timer, 0));
+  this->Handle(*this->current);
+}
+
+bool GatewaySession::is_at_rest() const {
+  return !this->current && this->waiting.empty() &&
+         this->state == SessionState::kIdle;
+}
+
+void GatewaySession::Handle(const CallerStatement& statement) {
+  if (this->state == SessionState::kIdle)
+    return this->HandleOutsideTransaction(statement);
+  this->HandleInTransaction(statement);
+}
+
+bool GatewaySession::HandleSessionStatement(const CallerStatement& statement) {
+  switch (statement.kind) {
+    case StatementKind::kSet:
+    case StatementKind::kPrepare:
+      if (this->record->is_full()) {
+        this->AnswerError(StatementErrorCode::kMalformed,
+                          "the session keeps too many values and statements");
+        return true;
+      }
+      break;
+    case StatementKind::kClose:
+      break;
+    default:
+      return false;
+  }
+  // Work in flight holds the record as it was when it was sent.
+  auto changed = std::make_shared<SessionRecord>(*this->record);
+  if (statement.kind == StatementKind::kSet)
+    changed->Set(statement.name, statement.value);
+  else if (statement.kind == StatementKind::kPrepare)
+    changed->Prepare(statement.name, statement.shape);
+  else
+    changed->Close(statement.name);
+  this->record = std::move(changed);
+  this->AnswerDone();
+  return true;
+}
+
+void GatewaySession::HandleOutsideTransaction(
+    const CallerStatement& statement) {
+  if (this->HandleSessionStatement(statement))
+    return;
+  switch (statement.kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginRead:
+      this->is_read_only = statement.kind == StatementKind::kBeginRead;
+      this->abort_reason.reset();
+      this->state = SessionState::kInTransaction;
+      return this->AnswerDone();
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+    case StatementKind::kExecute: {
+      const auto access = this->AccessOf(statement);
+      if (!access)
+        return this->AnswerError(StatementErrorCode::kNoPreparedStatement,
+                                 statement.name);
+      return this->RunSingle(statement, *access);
+    }
+    default:
+      return this->AnswerError(StatementErrorCode::kMalformed,
+                               "not a statement for this place");
+  }
+}
+
+void GatewaySession::HandleInTransaction(const CallerStatement& statement) {
+  const bool is_commit = statement.kind == StatementKind::kCommit;
+  if (statement.kind == StatementKind::kRollback) {
+    this->EndTransaction();
+    return this->AnswerDone();
+  }
+  if (this->state == SessionState::kFailedTransaction) {
+    if (!is_commit)
+      return this->AnswerError(StatementErrorCode::kMalformed,
+                               "the transaction has failed");
+    this->EndTransaction();
+    return this->AnswerError(StatementErrorCode::kAborted,
+                             "the transaction had failed");
+  }
+  if (this->abort_reason) {
+    const std::string reason = *std::exchange(this->abort_reason, std::nullopt);
+    this->EndTransaction();
+    if (!is_commit)
+      this->state = SessionState::kFailedTransaction;
+    return this->AnswerError(StatementErrorCode::kAborted, reason);
+  }
+  if (this->HandleSessionStatement(statement))
+    return;
+  const bool is_known = is_commit || this->AccessOf(statement).has_value();
+  if (!is_known) {
+    this->EndTransaction();
+    this->state = SessionState::kFailedTransaction;
+    return this->AnswerError(statement.kind == StatementKind::kExecute
+                                 ? StatementErrorCode::kNoPreparedStatement
+                                 : StatementErrorCode::kMalformed,
+                             "not a statement for this place");
+  }
+  if (!this->transaction)
+    return this->StartTransaction(statement);
+  this->RunInTransaction(statement);
+}
+
+std::optional<StatementAccess> GatewaySession::AccessOf(
+    const CallerStatement& statement) const {
+  switch (statement.kind) {
+    case StatementKind::kRead:
+      return StatementAccess::kRead;
+    case StatementKind::kWrite:
+      return StatementAccess::kWrite;
+    case StatementKind::kExecute: {
+      const PreparedShape* shape = this->record->Find(statement.name);
+      if (!shape)
+        return std::nullopt;
+      return shape->access;
+    }
+    default:
+      return std::nullopt;
+  }
+}
+
+TargetCommand GatewaySession::CommandFor(
+    const CallerStatement& statement) const {
+  TargetCommand command;
+  command.request_id = statement.id;
+  if (statement.kind == StatementKind::kExecute) {
+    command.kind = TargetCommandKind::kExecute;
+    command.shape = *this->record->Find(statement.name);
+    command.value = statement.value;
+    return command;
+  }
+  command.kind = TargetCommandKind::kStatement;
+  command.text = statement.text;
+  return command;
+}
+
+const CallerRoute* GatewaySession::UsableRoute() {
+  const CallerRoute* route = this->host.FindRoute(this->database);
+  if (!route) {
+    this->EndTransaction();
+    this->AnswerError(StatementErrorCode::kNoDatabase, this->database);
+    return nullptr;
+  }
+  return route;
+}
+
+void GatewaySession::RunSingle(const CallerStatement& statement,
+                               StatementAccess access) {
+  const CallerRoute* route = this->UsableRoute();
+  if (!route)
+    return;
+  GroupDispatcher* group = this->host.FindGroup(route->group);
+  if (!group)
+    return this->AnswerError(StatementErrorCode::kBusy, "no targets");
+  WorkRequest request;
+  request.route = *route;
+  request.command = this->CommandFor(statement);
+  request.is_write = access == StatementAccess::kWrite;
+  request.needs_primary =
+      request.is_write || route->kind == RouteKind::kPrimary;
+  request.record = this->record;
+  if (route->kind == RouteKind::kReadYourWrites)
+    request.session_point = this->last_commit;
+  request.received_at = this->received_at;
+  const bool is_write = request.is_write;
+  this->work_group = group;
+  this->work_number = 0;
+  const auto number =
+      group->Submit(std::move(request),
+                    this->life.Wrap([this, is_write](WorkOutcome outcome) {
+                      if (is_write && !outcome.answer.error)
+                        this->last_commit = outcome.answer.position;
+                      this->DidFinishSingle(std::move(outcome));
+                    }));
+  // The work may be over already.
+  if (this->work_group)
+    this->work_number = number;
+}
+
+void GatewaySession::DidFinishSingle(WorkOutcome outcome) {
+  this->work_group = nullptr;
+  StatementAnswer answer = std::move(outcome.answer);
+  answer.state = SessionState::kIdle;
+  this->Answer(std::move(answer));
+}
+
+void GatewaySession::StartTransaction(const CallerStatement& statement) {
+  const CallerRoute* route = this->UsableRoute();
+  if (!route)
+    return;
+  GroupDispatcher* group = this->host.FindGroup(route->group);
+  if (!group) {
+    this->EndTransaction();
+    return this->AnswerError(StatementErrorCode::kBusy, "no targets");
+  }
+  WorkRequest request;
+  request.route = *route;
+  request.command.kind = this->is_read_only ? TargetCommandKind::kBeginRead
+                                            : TargetCommandKind::kBegin;
+  request.needs_primary =
+      !this->is_read_only || route->kind == RouteKind::kPrimary;
+  request.opens_transaction = true;
+  request.record = this->record;
+  if (route->kind == RouteKind::kReadYourWrites)
+    request.session_point = this->last_commit;
+  request.received_at = this->received_at;
+  this->work_group = group;
+  this->work_number = 0;
+  const auto number =
+      group->Submit(std::move(request),
+                    this->life.Wrap([this, statement](WorkOutcome outcome) {
+                      this->DidStartTransaction(statement, std::move(outcome));
+                    }));
+  if (this->work_group)
+    this->work_number = number;
+}
+
+void GatewaySession::DidStartTransaction(const CallerStatement& statement,
+                                         WorkOutcome outcome) {
+  this->work_group = nullptr;
+  if (!outcome.transaction) {
+    if (!outcome.answer.error)
+      outcome.answer.error =
+          StatementError{StatementErrorCode::kAborted, "not started"};
+    // Nothing of the transaction has run.
+    const bool is_commit = statement.kind == StatementKind::kCommit;
+    this->EndTransaction();
+    if (!is_commit)
+      this->state = SessionState::kFailedTransaction;
+    return this->AnswerError(outcome.answer.error->code,
+                             outcome.answer.error->message);
+  }
+  this->transaction = std::move(outcome.transaction);
+  this->RunInTransaction(statement);
+}
+
+void GatewaySession::RunInTransaction(const CallerStatement& statement) {
+  const auto access = this->AccessOf(statement);
+  const auto step =
+      statement.kind == StatementKind::kCommit ? OpenTransaction::Step::kCommit
+      : access == StatementAccess::kWrite      ? OpenTransaction::Step::kWrite
+                                               : OpenTransaction::Step::kRead;
+  this->transaction->Run(*this->record, this->CommandFor(statement), step,
+                         this->life.Wrap([this, step](StatementAnswer answer) {
+                           this->DidFinishInTransaction(step,
+                                                        std::move(answer));
+                         }));
+}
+
+void GatewaySession::DidFinishInTransaction(OpenTransaction::Step step,
+                                            StatementAnswer answer) {
+  if (step == OpenTransaction::Step::kCommit) {
+    if (!answer.error && this->transaction->committed_point())
+      this->last_commit = this->transaction->committed_point();
+    // A commit that failed leaves nothing open: what is left is rolled back.
+    this->EndTransaction();
+    answer.state = SessionState::kIdle;
+    return this->Answer(std::move(answer));
+  }
+  if (answer.error) {
+    // The answer may promise that nothing is kept, so nothing must be.
+    this->EndTransaction();
+    this->state = SessionState::kFailedTransaction;
+  }
+  answer.state = this->state;
+  this->Answer(std::move(answer));
+}
+
+void GatewaySession::AbortTransaction(const char* reason) {
+  if (this->state != SessionState::kInTransaction || this->current)
+    return;
+  this->transaction.reset();
+  this->abort_reason = reason;
+}
+
+void GatewaySession::EndTransaction() {
+  this->transaction.reset();
+  this->state = SessionState::kIdle;
+  this->is_read_only = false;
+}
+
+void GatewaySession::AnswerDone() {
+  StatementAnswer answer;
+  answer.state = this->state;
+  this->Answer(std::move(answer));
+}
+
+void GatewaySession::AnswerError(StatementErrorCode code, std::string message) {
+  StatementAnswer answer;
+  answer.state = this->state;
+  answer.error = StatementError{code, std::move(message)};
+  this->Answer(std::move(answer));
+}
+
+void GatewaySession::Answer(StatementAnswer answer) {
+  const CallerStatement statement = std::move(*this->current);
+  this->current.reset();
+  this->host.DidAnswerCaller(statement, answer, this->received_at);
+  this->channel.Send(answer);
+  this->RestartIdleTimer();
+  // The next statement starts from the loop, so that a chain of statements that
+  // are answered here does not nest.
+  if (!this->waiting.empty())
+    this->scheduler.Post(this->life.Wrap([this] { this->Next(); }));
+}
+
+void GatewaySession::RestartIdleTimer() {
+  if (this->state != SessionState::kInTransaction || !this->transaction)
+    return;
+  this->idle_timer = this->scheduler.PostAfter(
+      this->host.transaction_idle_limit(), this->life.Wrap([this] {
+        this->idle_timer = 0;
+        this->AbortTransaction("the transaction was idle for too long");
+      }));
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibLab/experiment.cc
+++ b/Libraries/LibLab/experiment.cc
@@ -47,7 +47,7 @@
 Result<std::unique_ptr<Experiment>> Experiment::Create(
     ExperimentOptions options) {
   std::unique_ptr<Experiment> experiment(new Experiment(std::move(options)));
-  BOOST_LEAF_CHECK(experiment->Start());
+  KINGCUPMILL_CHECK(experiment->Start());
   return experiment;
 }
 
@@ -57,7 +57,7 @@
 Experiment::~Experiment() = default;
 
 Result<void> Experiment::Start() {
-  BOOST_LEAF_AUTO(files, ReadDeclarationFolder(this->options.declarations));
+  KINGCUPMILL_TRY(files, ReadDeclarationFolder(this->options.declarations));
   std::vector<SettingError> errors;
   this->arrangement = ArrangementParser::Parse(files, errors);
   if (!errors.empty())
@@ -68,12 +68,12 @@
   StandinHost::Options host_options;
   host_options.replica_lag = this->options.replica_lag;
   host_options.platform_address = this->PlatformAddress();
-  BOOST_LEAF_ASSIGN(this->standins,
-                    StandinHost::Create(this->arrangement, host_options));
-  BOOST_LEAF_CHECK(this->PublishArrangement());
-  BOOST_LEAF_CHECK(this->StartProxies());
-  BOOST_LEAF_CHECK(this->WaitUntilReady());
-  BOOST_LEAF_CHECK(this->CreateTables());
+  KINGCUPMILL_TRY_ASSIGN(this->standins,
+                         StandinHost::Create(this->arrangement, host_options));
+  KINGCUPMILL_CHECK(this->PublishArrangement());
+  KINGCUPMILL_CHECK(this->StartProxies());
+  KINGCUPMILL_CHECK(this->WaitUntilReady());
+  KINGCUPMILL_CHECK(this->CreateTables());
   // Reads at a stated age may see the time before the tables were made.
   std::this_thread::sleep_for(this->options.replica_lag +
                               this->options.stated_age);
@@ -102,7 +102,7 @@
       this->standins->network().SetPlace(record.name, record.place);
       this->standins->platform().state().SetVm(record);
     });
-    BOOST_LEAF_AUTO(proxy, ProxyDaemon::Create(std::move(settings),
+    KINGCUPMILL_TRY(proxy, ProxyDaemon::Create(std::move(settings),
                                                this->options.seed + index));
     this->clients.push_back(std::make_unique<HttpClient>(
         proxy->settings().http_address, kClientTimeout));
@@ -118,7 +118,7 @@
 Result<void> Experiment::PublishArrangement() {
   HttpPlatformClient client(this->PlatformAddress(), kReadyTimeout);
   Publisher<HttpPlatformClient> publisher(client);
-  BOOST_LEAF_AUTO(outcome,
+  KINGCUPMILL_TRY(outcome,
                   publisher.Publish(WriteArrangement(this->arrangement),
                                     Revision{}, "lab-start", "lab"));
   if (outcome.kind == PublishOutcome::Kind::kConflict)
@@ -147,7 +147,7 @@
     while (known < this->options.vm_count) {
       if (MonotonicNow() > limit)
         return Fail(ErrorCode::kTimeout, "the proxies did not get ready");
-      BOOST_LEAF_AUTO(response, client->SendAndWait(request));
+      KINGCUPMILL_TRY(response, client->SendAndWait(request));
       const auto status = nlohmann::json::parse(response.body);
       known = status.at("revision") > 0 ? status.at("known_vms").get<uint64_t>()
                                         : 0;
@@ -212,8 +212,8 @@
   changed.applications.begin()->second.groups.resize(1);
   HttpPlatformClient platform(this->PlatformAddress(), kReadyTimeout);
   Publisher<HttpPlatformClient> publisher(platform);
-  BOOST_LEAF_CHECK(publisher.Publish(WriteArrangement(changed), Revision{1},
-                                     "lab-change", "lab"));
+  KINGCUPMILL_CHECK(publisher.Publish(WriteArrangement(changed), Revision{1},
+                                      "lab-change", "lab"));
   const TimePoint published_at = MonotonicNow();
   std::this_thread::sleep_for(kSpreadTime);
   HttpRequest request;
@@ -221,7 +221,7 @@
   request.path = "/admin/status";
   Duration slowest{0};
   for (const auto& client : this->clients) {
-    BOOST_LEAF_AUTO(response, client->SendAndWait(request));
+    KINGCUPMILL_TRY(response, client->SendAndWait(request));
     const TimePoint now = MonotonicNow();
     const auto status = nlohmann::json::parse(response.body);
     if (status.at("revision") != 2)
@@ -245,7 +245,7 @@
   cost.platform_reads = this->PlatformReads() - reads_before;
   cost.control_bytes = this->SumControlBytes() - bytes_before;
   cost.resident_bytes = ResidentBytes();
-  BOOST_LEAF_ASSIGN(cost.spread, this->MeasureSpread());
+  KINGCUPMILL_TRY_ASSIGN(cost.spread, this->MeasureSpread());
   return cost;
 }
 
--- a/Libraries/LibLab/statement_cost.cc
+++ b/Libraries/LibLab/statement_cost.cc
@@ -123,7 +123,7 @@
   LatencySummary latencies;
   for (size_t call = 0; call < options.sequential_calls; ++call) {
     const TimePoint started_at = MonotonicNow();
-    BOOST_LEAF_AUTO(response, client.SendAndWait(read));
+    KINGCUPMILL_TRY(response, client.SendAndWait(read));
     if (response.status != 200)
       return Fail(ErrorCode::kUnavailable, response.body);
     latencies.Observe(MonotonicNow() - started_at);
@@ -167,8 +167,8 @@
 Result<StatementCost> MeasureStatementCost(
     const StatementCostOptions& options) {
   StatementCost cost;
-  BOOST_LEAF_CHECK(MeasureDirect(options, cost));
-  BOOST_LEAF_CHECK(MeasureProxied(options, cost));
+  KINGCUPMILL_CHECK(MeasureDirect(options, cost));
+  KINGCUPMILL_CHECK(MeasureProxied(options, cost));
   MeasureThroughput(options, cost);
   return cost;
 }
--- a/Libraries/LibLab/virtual_world.cc
+++ b/Libraries/LibLab/virtual_world.cc
@@ -181,8 +181,8 @@
   DirectStore store(this->platform_state);
   Publisher<DirectStore> publisher(store);
   auto published = Capture([&]() -> Result<PublishOutcome> {
-    BOOST_LEAF_AUTO(row, store.ReadRow(kHeadKey));
-    BOOST_LEAF_AUTO(head, DecodeChangeRecord(row.value));
+    KINGCUPMILL_TRY(row, store.ReadRow(kHeadKey));
+    KINGCUPMILL_TRY(head, DecodeChangeRecord(row.value));
     return publisher.Publish(WriteArrangement(arrangement), head.revision,
                              "change-" + std::to_string(this->next_change++),
                              "world");
--- /dev/null
+++ b/Libraries/LibLink/target_link.cc
@@ -0,0 +1,184 @@
+#include "LibLink/target_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/verify.h"
+
+namespace kingcupmill {
+
+namespace {
+
+// How long a connection may take to be accepted: the targets need 12 ms, and a
+// lost opening packet is sent again after a second.
+constexpr Duration kOpenTimeout = std::chrono::milliseconds(1200);
+
+}  // namespace
+
+TargetLink::TargetLink(Scheduler& scheduler,
+                       TargetDialer& dialer,
+                       const TargetEndpoint& endpoint,
+                       DidOpen did_open,
+                       DidFail did_fail)
+    : scheduler(scheduler),
+      did_open(std::move(did_open)),
+      did_fail(std::move(did_fail)),
+      answered_at(scheduler.Now()) {
+  LinkHandlers handlers;
+  handlers.did_open = this->life.Wrap([this](std::optional<LogPoint> point) {
+    if (this->state != State::kOpening)
+      return;
+    this->state = State::kOpen;
+    this->answered_at = this->scheduler.Now();
+    this->did_open(point);
+  });
+  handlers.did_receive = this->life.Wrap(
+      [this](StatementAnswer answer) { this->DidReceive(std::move(answer)); });
+  handlers.did_fail =
+      this->life.Wrap([this](LinkFailure failure) { this->DidLose(failure); });
+  this->channel = dialer.Dial(endpoint, std::move(handlers));
+  this->scheduler.PostAfter(kOpenTimeout, this->life.Wrap([this] {
+    if (this->state == State::kOpening)
+      this->DidLose(LinkFailure::kLost);
+  }));
+}
+
+std::string TargetLink::NameOf(const PreparedShape& shape) {
+  // Shapes are words of the callers, so names of reads and writes stay apart by
+  // their first letter.
+  return (shape.access == StatementAccess::kRead ? "r." : "w.") + shape.shape;
+}
+
+void TargetLink::Send(TargetCommand command,
+                      Duration timeout,
+                      DidAnswer did_answer) {
+  if (!this->is_open())
+    return did_answer(std::nullopt);
+  this->Enqueue(timeout, std::move(did_answer));
+  this->channel->Send(std::span<const TargetCommand>(&command, 1));
+}
+
+void TargetLink::SendFor(const SessionRecord& record,
+                         TargetCommand command,
+                         Duration timeout,
+                         DidAnswer did_answer) {
+  if (!this->is_open())
+    return did_answer(std::nullopt);
+  std::vector<TargetCommand> commands = this->CommandsFor(record);
+  if (command.kind == TargetCommandKind::kExecute &&
+      this->prepared.insert(command.shape).second) {
+    TargetCommand prepare;
+    prepare.kind = TargetCommandKind::kPrepare;
+    prepare.name = NameOf(command.shape);
+    prepare.shape = command.shape;
+    commands.push_back(std::move(prepare));
+  }
+  for (size_t index = 0; index < commands.size(); ++index) {
+    this->Enqueue(
+        timeout, this->life.Wrap([this](std::optional<StatementAnswer> answer) {
+          // The command behind ran in a session that is
+          // not the caller's; its answer must not count.
+          if (answer && answer->error)
+            this->DidLose(LinkFailure::kLost);
+        }));
+  }
+  if (command.kind == TargetCommandKind::kExecute)
+    command.name = NameOf(command.shape);
+  commands.push_back(std::move(command));
+  this->Enqueue(timeout, std::move(did_answer));
+  this->channel->Send(commands);
+}
+
+size_t TargetLink::DistanceTo(const SessionRecord& record) const {
+  const SessionRecord::Values& wanted = record.values();
+  for (const auto& [name, value] : this->values) {
+    if (!wanted.contains(name))
+      return 1 + wanted.size();
+  }
+  size_t distance = 0;
+  for (const auto& [name, value] : wanted) {
+    const auto found = this->values.find(name);
+    if (found == this->values.end() || found->second != value)
+      ++distance;
+  }
+  return distance;
+}
+
+std::vector<TargetCommand> TargetLink::CommandsFor(
+    const SessionRecord& record) {
+  std::vector<TargetCommand> commands;
+  const SessionRecord::Values& wanted = record.values();
+  const bool has_foreign_value = std::any_of(
+      this->values.begin(), this->values.end(),
+      [&](const auto& entry) { return !wanted.contains(entry.first); });
+  if (has_foreign_value) {
+    TargetCommand reset;
+    reset.kind = TargetCommandKind::kReset;
+    commands.push_back(std::move(reset));
+    this->values.clear();
+    this->prepared.clear();
+  }
+  for (const auto& [name, value] : wanted) {
+    auto& applied = this->values[name];
+    if (applied == value && !applied.empty())
+      continue;
+    applied = value;
+    TargetCommand set;
+    set.kind = TargetCommandKind::kSet;
+    set.name = name;
+    set.value = value;
+    commands.push_back(std::move(set));
+  }
+  return commands;
+}
+
+void TargetLink::Close() {
+  if (this->state == State::kClosed)
+    return;
+  this->state = State::kClosed;
+  this->channel->Close();
+  this->FailPending();
+}
+
+void TargetLink::Enqueue(Duration timeout, DidAnswer did_answer) {
+  Pending entry;
+  entry.did_answer = std::move(did_answer);
+  entry.timer = this->scheduler.PostAfter(
+      timeout, this->life.Wrap([this] { this->DidLose(LinkFailure::kLost); }));
+  this->pending.push_back(std::move(entry));
+}
+
+void TargetLink::DidReceive(StatementAnswer answer) {
+  if (this->state != State::kOpen)
+    return;
+  if (this->pending.empty()) {
+    // An answer that nothing asked for: the order of answers is lost.
+    return this->DidLose(LinkFailure::kLost);
+  }
+  this->answered_at = this->scheduler.Now();
+  this->session_state = answer.state;
+  Pending answered = std::move(this->pending.front());
+  this->pending.pop_front();
+  this->scheduler.Cancel(answered.timer);
+  answered.did_answer(std::move(answer));
+}
+
+void TargetLink::DidLose(LinkFailure failure) {
+  if (this->state == State::kClosed)
+    return;
+  // The owner may drop this link while it is told.
+  const DidFail owner = this->did_fail;
+  this->Close();
+  owner(failure);
+}
+
+void TargetLink::FailPending() {
+  std::deque<Pending> lost;
+  lost.swap(this->pending);
+  for (Pending& entry : lost)
+    this->scheduler.Cancel(entry.timer);
+  for (Pending& entry : lost)
+    entry.did_answer(std::nullopt);
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibOperator/operator_commands.cc
+++ b/Libraries/LibOperator/operator_commands.cc
@@ -29,7 +29,7 @@
 };
 
 Result<CheckedFolder> CheckFolder(const std::string& folder) {
-  BOOST_LEAF_AUTO(files, ReadDeclarationFolder(folder));
+  KINGCUPMILL_TRY(files, ReadDeclarationFolder(folder));
   CheckedFolder checked;
   checked.arrangement = ArrangementParser::Parse(files, checked.errors);
   return checked;
@@ -117,7 +117,7 @@
       format(format) {}
 
 Result<CommandOutput> OperatorCommands::Validate(const std::string& folder) {
-  BOOST_LEAF_AUTO(checked, CheckFolder(folder));
+  KINGCUPMILL_TRY(checked, CheckFolder(folder));
   if (!checked.errors.empty())
     return DescribeErrors(checked.errors, this->format);
   const Arrangement& arrangement = checked.arrangement;
@@ -135,7 +135,7 @@
 }
 
 Result<ChangeRecord> OperatorCommands::ReadHead() {
-  BOOST_LEAF_AUTO(row, this->platform.ReadRow(kHeadKey));
+  KINGCUPMILL_TRY(row, this->platform.ReadRow(kHeadKey));
   return DecodeChangeRecord(row.value);
 }
 
@@ -146,11 +146,11 @@
 }
 
 Result<CommandOutput> OperatorCommands::Diff(const std::string& folder) {
-  BOOST_LEAF_AUTO(checked, CheckFolder(folder));
+  KINGCUPMILL_TRY(checked, CheckFolder(folder));
   if (!checked.errors.empty())
     return DescribeErrors(checked.errors, this->format);
-  BOOST_LEAF_AUTO(head, this->ReadHead());
-  BOOST_LEAF_AUTO(text, this->ReadText(head));
+  KINGCUPMILL_TRY(head, this->ReadHead());
+  KINGCUPMILL_TRY(text, this->ReadText(head));
   std::vector<SettingError> errors;
   const DeclarationFile file{"in force", text};
   const Arrangement in_force =
@@ -205,17 +205,17 @@
                                               std::optional<uint64_t> base,
                                               std::string change_id,
                                               const std::string& author) {
-  BOOST_LEAF_AUTO(checked, CheckFolder(folder));
+  KINGCUPMILL_TRY(checked, CheckFolder(folder));
   if (!checked.errors.empty())
     return DescribeErrors(checked.errors, this->format);
   if (!base) {
-    BOOST_LEAF_AUTO(head, this->ReadHead());
+    KINGCUPMILL_TRY(head, this->ReadHead());
     base = head.revision.value;
   }
   if (change_id.empty())
     change_id = MakeChangeId();
   Publisher<HttpPlatformClient> publisher(this->platform);
-  BOOST_LEAF_AUTO(outcome,
+  KINGCUPMILL_TRY(outcome,
                   publisher.Publish(WriteArrangement(checked.arrangement),
                                     Revision{*base}, change_id, author));
   switch (outcome.kind) {
@@ -230,8 +230,8 @@
 }
 
 Result<CommandOutput> OperatorCommands::Get() {
-  BOOST_LEAF_AUTO(head, this->ReadHead());
-  BOOST_LEAF_AUTO(text, this->ReadText(head));
+  KINGCUPMILL_TRY(head, this->ReadHead());
+  KINGCUPMILL_TRY(text, this->ReadText(head));
   if (this->format == OutputFormat::kJson) {
     const json body = {{"revision", head.revision.value},
                        {"digest", head.digest},
@@ -244,7 +244,7 @@
 
 Result<CommandOutput> OperatorCommands::History(size_t limit) {
   Publisher<HttpPlatformClient> publisher(this->platform);
-  BOOST_LEAF_AUTO(history, publisher.History(limit));
+  KINGCUPMILL_TRY(history, publisher.History(limit));
   json list = json::array();
   std::string table = fmt::format("{:<9} {:<18} {:<16} {}\n", "revision",
                                   "change", "author", "digest");
@@ -261,7 +261,7 @@
 }
 
 Result<CommandOutput> OperatorCommands::Status() {
-  BOOST_LEAF_AUTO(vms, this->platform.ListVms());
+  KINGCUPMILL_TRY(vms, this->platform.ListVms());
   json list = json::array();
   std::string table =
       fmt::format("{:<10} {:<14} {:<9} {:<10} {}\n", "vm", "place", "revision",
@@ -305,7 +305,7 @@
     request.query += "&max_age_ms=" + std::to_string(*maximum_age_ms);
   if (position)
     request.query += "&position=" + std::to_string(*position);
-  BOOST_LEAF_AUTO(response, client.SendAndWait(request));
+  KINGCUPMILL_TRY(response, client.SendAndWait(request));
   const json body = json::parse(response.body, nullptr, false);
   if (response.status != 200 || !body.is_object())
     return Fail(ErrorCode::kInvalidInput, response.body);
@@ -318,7 +318,7 @@
 
 Result<CommandOutput> OperatorCommands::Drain(const std::string& proxy) {
   HttpClient client(proxy, this->timeout);
-  BOOST_LEAF_AUTO(response,
+  KINGCUPMILL_TRY(response,
                   client.SendAndWait(MakeRequest("POST", "/admin/drain")));
   if (response.status != 200)
     return Fail(ErrorCode::kUnavailable, response.body);
@@ -341,7 +341,7 @@
   if (!command.key.empty())
     request.headers.push_back({"Idempotency-Key", command.key});
   request.body = body.dump();
-  BOOST_LEAF_AUTO(response, client.SendAndWait(request));
+  KINGCUPMILL_TRY(response, client.SendAndWait(request));
   const json answer = json::parse(response.body, nullptr, false);
   if (!answer.is_object())
     return Fail(ErrorCode::kUnavailable, "the proxy's answer is malformed");
--- /dev/null
+++ b/Libraries/LibPeer/Forward.h
@@ -0,0 +1,17 @@
+#ifndef LIBPEER_FORWARD_H_
+#define LIBPEER_FORWARD_H_
+
+namespace kingcupmill {
+
+struct CloseAnswer;
+struct CloseQuery;
+struct CopyAnswer;
+struct CopyQuery;
+struct HealthAnswer;
+struct HealthQuery;
+class PeerLinks;
+class SocketPeerLinks;
+
+}  // namespace kingcupmill
+
+#endif  // LIBPEER_FORWARD_H_
--- /dev/null
+++ b/Libraries/LibPeer/peer_query.h
@@ -0,0 +1,93 @@
+#ifndef LIBPEER_PEER_QUERY_H_
+#define LIBPEER_PEER_QUERY_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibCore/error.h"
+#include "LibCore/names.h"
+#include "LibCore/time.h"
+#include "LibPrimary/primary_record.h"
+#include "LibTables/row_store.h"
+
+namespace kingcupmill {
+
+// Asks for the peer's copies of the store's tables and its proofs of positions.
+struct CopyQuery {
+  // The versions that the asker has; tables that are no newer come without
+  // rows.
+  std::vector<uint64_t> versions;
+};
+
+// One table of the store as a proxy read it.
+struct TableCopy {
+  std::string table;
+  // Nothing when the asker's version is as new.
+  std::optional<TableRows> rows;
+  uint64_t version = 0;
+  // How long before the answer the read was sent that showed this.
+  Duration age{};
+};
+
+// Where a group's log ended, by its primary's word.
+struct ProofCopy {
+  GroupName group;
+  LogPoint position;
+  // How long before the answer the command was sent that showed this.
+  Duration age{};
+};
+
+struct CopyAnswer {
+  std::vector<TableCopy> tables;
+  std::vector<ProofCopy> proofs;
+};
+
+// Asks the peer to stop using a primary that the store shows as closing.
+struct CloseQuery {
+  PrimaryRecord record;
+};
+
+struct CloseAnswer {
+  // The peer does not use the primary any more and will not use it again.
+  bool has_stopped = false;
+};
+
+// Asks what the peer sees of a group; without a group, only whether it lives.
+struct HealthQuery {
+  GroupName group;
+};
+
+struct HealthAnswer {
+  std::string incarnation;
+  // How long the peer has had no answer from the primary.
+  Duration primary_silence{};
+  bool hears_replicas = false;
+};
+
+using PeerQuery = std::variant<CopyQuery, CloseQuery, HealthQuery>;
+using PeerAnswer = std::variant<CopyAnswer, CloseAnswer, HealthAnswer>;
+
+// Encodes a numbered query or answer as CBOR.
+std::vector<uint8_t> EncodeQuery(uint64_t number, const PeerQuery& query);
+std::vector<uint8_t> EncodeAnswer(uint64_t number, const PeerAnswer& answer);
+
+struct NumberedQuery {
+  uint64_t number = 0;
+  PeerQuery query;
+};
+struct NumberedAnswer {
+  uint64_t number = 0;
+  PeerAnswer answer;
+};
+using PeerMessageIn = std::variant<NumberedQuery, NumberedAnswer>;
+
+// Fails with kInvalidInput on anything else than what the above write.
+Result<PeerMessageIn> DecodePeerBytes(const std::vector<uint8_t>& bytes);
+
+}  // namespace kingcupmill
+
+#endif  // LIBPEER_PEER_QUERY_H_
--- /dev/null
+++ b/Libraries/LibPeer/socket_peer_links.h
@@ -0,0 +1,67 @@
+#ifndef LIBPEER_SOCKET_PEER_LINKS_H_
+#define LIBPEER_SOCKET_PEER_LINKS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibCore/error.h"
+#include "LibCore/life_guard.h"
+#include "LibPeer/peer_links.h"
+#include "LibWire/event_loop.h"
+#include "LibWire/web_socket_client.h"
+#include "LibWire/web_socket_server.h"
+
+namespace kingcupmill {
+
+// PeerLinks over WebSockets that carry CBOR. A link is opened when it is first
+// needed and dropped when a question on it was not answered in time.
+class SocketPeerLinks final : public PeerLinks {
+ public:
+  SocketPeerLinks(EventLoop& loop, HandleQuery handle_query);
+
+  // Starts to listen on `address` ("IP:port").
+  Result<uint16_t> Listen(const std::string& address);
+
+  void Ask(const std::string& address,
+           const PeerQuery& query,
+           Duration timeout,
+           DidAnswer did_answer) override;
+
+ private:
+  using Connection = std::shared_ptr<WebSocketConnection>;
+  struct Pending {
+    DidAnswer did_answer;
+    Scheduler::TimerId timer = 0;
+  };
+  struct Link {
+    Connection socket;
+    bool is_open = false;
+    // Messages that wait for the link to open.
+    std::vector<std::vector<uint8_t>> waiting;
+    std::map<uint64_t, Pending> pending;
+  };
+
+  Link& LinkTo(const std::string& address);
+  void DidOpen(const std::string& address);
+  void DropLink(const std::string& address);
+  void DidExpire(const std::string& address, uint64_t number);
+  void DidReceiveAnswer(const std::string& address,
+                        const std::vector<uint8_t>& bytes);
+  void DidReceiveQuery(const Connection& socket,
+                       const std::vector<uint8_t>& bytes);
+
+  EventLoop& loop;
+  HandleQuery handle_query;
+  WebSocketClient client;
+  WebSocketServer server;
+  std::map<std::string, Link> link_by_address;
+  uint64_t next_number = 1;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBPEER_SOCKET_PEER_LINKS_H_
--- a/Libraries/LibPlatform/http_platform_client.cc
+++ b/Libraries/LibPlatform/http_platform_client.cc
@@ -36,7 +36,7 @@
   return MakeRequest("GET", "/blobs/" + std::string(digest));
 }
 
-boost::leaf::error_id UnexpectedStatus(const HttpResponse& response) {
+tl::unexpected<Error> UnexpectedStatus(const HttpResponse& response) {
   return Fail(ErrorCode::kUnavailable, "the platform answered with status " +
                                            std::to_string(response.status));
 }
@@ -105,20 +105,20 @@
 HttpPlatformClient::~HttpPlatformClient() = default;
 
 Result<PlatformRow> HttpPlatformClient::ReadRow(std::string_view key) {
-  BOOST_LEAF_AUTO(response, this->client->SendAndWait(RowRequest(key)));
+  KINGCUPMILL_TRY(response, this->client->SendAndWait(RowRequest(key)));
   return DecodeRow(response);
 }
 
 Result<WriteOutcome> HttpPlatformClient::WriteRow(std::string_view key,
                                                   std::string_view value,
                                                   uint64_t expected) {
-  BOOST_LEAF_AUTO(response, this->client->SendAndWait(
+  KINGCUPMILL_TRY(response, this->client->SendAndWait(
                                 RowWriteRequest(key, value, expected)));
   return DecodeWrite(response);
 }
 
 Result<std::string> HttpPlatformClient::ReadBlob(std::string_view digest) {
-  BOOST_LEAF_AUTO(response, this->client->SendAndWait(BlobRequest(digest)));
+  KINGCUPMILL_TRY(response, this->client->SendAndWait(BlobRequest(digest)));
   return DecodeBlob(response);
 }
 
@@ -126,14 +126,14 @@
                                            std::string_view text) {
   HttpRequest request = MakeRequest("PUT", "/blobs/" + std::string(digest));
   request.body = std::string(text);
-  BOOST_LEAF_AUTO(response, this->client->SendAndWait(request));
+  KINGCUPMILL_TRY(response, this->client->SendAndWait(request));
   if (response.status != 200)
     return UnexpectedStatus(response);
   return {};
 }
 
 Result<std::vector<VmRecord>> HttpPlatformClient::ListVms() {
-  BOOST_LEAF_AUTO(response,
+  KINGCUPMILL_TRY(response,
                   this->client->SendAndWait(MakeRequest("GET", "/vms")));
   return DecodeVms(response);
 }
--- a/Libraries/LibProxy/caller_interface.cc
+++ b/Libraries/LibProxy/caller_interface.cc
@@ -26,7 +26,7 @@
 constexpr int64_t kMaximumDeadlineMs = 60'000;
 constexpr int64_t kMaximumAgeMs = 60'000;
 
-boost::leaf::error_id Invalid(std::string message) {
+tl::unexpected<Error> Invalid(std::string message) {
   return Fail(ErrorCode::kInvalidInput, std::move(message));
 }
 
@@ -133,14 +133,14 @@
   request.application.value = http.header(kApplicationHeader);
   if (request.application.value.empty())
     return Invalid("the header Kingcupmill-Application is missing");
-  BOOST_LEAF_CHECK(this->ParseRoute(http, request));
+  KINGCUPMILL_CHECK(this->ParseRoute(http, request));
   if (http.method == "POST")
-    BOOST_LEAF_CHECK(this->ParseBody(http, request));
+    KINGCUPMILL_CHECK(this->ParseBody(http, request));
   if (request.group.value.empty())
     return Invalid("\"group\" is missing");
   const std::string_view token = http.header(kSessionHeader);
   if (!token.empty()) {
-    BOOST_LEAF_ASSIGN(parsed.token, this->codec.Decode(token));
+    KINGCUPMILL_TRY_ASSIGN(parsed.token, this->codec.Decode(token));
   }
   const auto point = parsed.token.points.find(request.group);
   if (point != parsed.token.points.end())
@@ -252,11 +252,11 @@
     request.repeatability = value.get<bool>() ? Repeatability::kRepeatable
                                               : Repeatability::kNotRepeatable;
   } else if (key == "deadline_ms") {
-    BOOST_LEAF_ASSIGN(request.time_left,
-                      ParseMilliseconds(value, key, kMaximumDeadlineMs));
+    KINGCUPMILL_TRY_ASSIGN(request.time_left,
+                           ParseMilliseconds(value, key, kMaximumDeadlineMs));
   } else if (key == "max_age_ms") {
-    BOOST_LEAF_ASSIGN(request.maximum_age,
-                      ParseMilliseconds(value, key, kMaximumAgeMs));
+    KINGCUPMILL_TRY_ASSIGN(request.maximum_age,
+                           ParseMilliseconds(value, key, kMaximumAgeMs));
   } else if (key != "access") {
     return Invalid("\"" + key + "\" is not a known field");
   }
@@ -284,7 +284,7 @@
   if (!body.is_object())
     return Invalid("the body is not a JSON object");
   for (const auto& [key, value] : body.items())
-    BOOST_LEAF_CHECK(ParseField(key, value, request));
+    KINGCUPMILL_CHECK(ParseField(key, value, request));
   const bool is_statement = request.operation == ClientOperation::kWrite;
   if (is_statement || request.operation == ClientOperation::kExecute) {
     if (request.statement.text.empty())
@@ -293,7 +293,7 @@
       return Invalid("tables named kingcupmill_* are reserved");
   }
   if (is_statement) {
-    BOOST_LEAF_AUTO(access, ParseAccess(body, request));
+    KINGCUPMILL_TRY(access, ParseAccess(body, request));
     if (access == Access::kRead)
       request.operation = ClientOperation::kRead;
   }
--- a/Libraries/LibProxy/peer_message.cc
+++ b/Libraries/LibProxy/peer_message.cc
@@ -100,11 +100,11 @@
   const auto number = encoded.at(1).get<uint64_t>();
   switch (static_cast<MessageType>(encoded.at(0).get<uint64_t>())) {
     case MessageType::kForward: {
-      BOOST_LEAF_AUTO(request, DecodeClientRequest(encoded.at(2)));
+      KINGCUPMILL_TRY(request, DecodeClientRequest(encoded.at(2)));
       return PeerMessage(ForwardMessage{number, std::move(request)});
     }
     case MessageType::kAnswer: {
-      BOOST_LEAF_AUTO(answer, DecodeClientAnswer(encoded.at(2)));
+      KINGCUPMILL_TRY(answer, DecodeClientAnswer(encoded.at(2)));
       return PeerMessage(AnswerMessage{number, std::move(answer)});
     }
     case MessageType::kPulse:
--- a/Libraries/LibProxy/proxy_daemon.cc
+++ b/Libraries/LibProxy/proxy_daemon.cc
@@ -28,10 +28,10 @@
 
 Result<std::unique_ptr<ProxyDaemon>> ProxyDaemon::Create(ProxySettings settings,
                                                          uint64_t seed) {
-  BOOST_LEAF_AUTO(codec, TokenCodec::Create(settings.session_key));
+  KINGCUPMILL_TRY(codec, TokenCodec::Create(settings.session_key));
   std::unique_ptr<ProxyDaemon> daemon(
       new ProxyDaemon(std::move(settings), std::move(codec), seed));
-  BOOST_LEAF_CHECK(daemon->Start());
+  KINGCUPMILL_CHECK(daemon->Start());
   return daemon;
 }
 
@@ -92,11 +92,11 @@
 }
 
 Result<void> ProxyDaemon::Start() {
-  BOOST_LEAF_CHECK(this->peers.Listen(this->proxy_settings.peer_address));
+  KINGCUPMILL_CHECK(this->peers.Listen(this->proxy_settings.peer_address));
   HttpServer::Options options;
   options.address = this->proxy_settings.http_address;
   options.maximum_body_bytes = this->proxy_settings.maximum_body_bytes;
-  BOOST_LEAF_ASSIGN(
+  KINGCUPMILL_TRY_ASSIGN(
       this->http, HttpServer::Create(options, [this](HttpRequest request,
                                                      HttpServer::Reply reply) {
         this->HandleHttp(std::move(request), std::move(reply));
--- a/Libraries/LibStandins/platform_server.cc
+++ b/Libraries/LibStandins/platform_server.cc
@@ -33,7 +33,7 @@
   HttpServer::Options options;
   options.address = address;
   options.maximum_body_bytes = 16U << 20U;
-  BOOST_LEAF_ASSIGN(
+  KINGCUPMILL_TRY_ASSIGN(
       server->http, HttpServer::Create(options, [self = server.get()](
                                                     HttpRequest request,
                                                     HttpServer::Reply reply) {
--- a/Libraries/LibStandins/standin_host.cc
+++ b/Libraries/LibStandins/standin_host.cc
@@ -11,7 +11,7 @@
     const Arrangement& arrangement,
     Options options) {
   std::unique_ptr<StandinHost> host(new StandinHost(std::move(options)));
-  BOOST_LEAF_CHECK(host->Start(arrangement));
+  KINGCUPMILL_CHECK(host->Start(arrangement));
   return host;
 }
 
@@ -39,7 +39,7 @@
     this->standin_network.SetPlace(name.value, target.place);
     auto listener = std::make_unique<TargetListener>(
         this->loop, this->standin_network, *standin);
-    BOOST_LEAF_CHECK(listener->Listen(target.address));
+    KINGCUPMILL_CHECK(listener->Listen(target.address));
     this->targets.emplace(name, std::move(standin));
     this->listeners.push_back(std::move(listener));
   }
@@ -53,7 +53,7 @@
       this->targets.at(name)->member().SetPeers(std::move(peers));
     }
   }
-  BOOST_LEAF_ASSIGN(
+  KINGCUPMILL_TRY_ASSIGN(
       this->platform_server,
       PlatformServer::Create(this->loop, this->options.platform_address));
   this->loop.Start();
--- /dev/null
+++ b/Libraries/LibStatement/Forward.h
@@ -0,0 +1,17 @@
+#ifndef LIBSTATEMENT_FORWARD_H_
+#define LIBSTATEMENT_FORWARD_H_
+
+namespace kingcupmill {
+
+enum class SessionState;
+enum class StatementErrorCode;
+enum class StatementKind;
+struct CallerStatement;
+struct PreparedShape;
+struct StatementAnswer;
+struct TargetReport;
+class SessionRecord;
+
+}  // namespace kingcupmill
+
+#endif  // LIBSTATEMENT_FORWARD_H_
--- /dev/null
+++ b/Libraries/LibTables/table_follower.h
@@ -0,0 +1,87 @@
+#ifndef LIBTABLES_TABLE_FOLLOWER_H_
+#define LIBTABLES_TABLE_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "LibCore/life_guard.h"
+#include "LibCore/scheduler.h"
+#include "LibTables/row_store.h"
+
+namespace kingcupmill {
+
+// Keeps a copy of one table and tells how recent it is.
+class TableFollower {
+ public:
+  using Rows = std::map<std::string, StoreRow>;
+  // Called after each successful read, also when nothing has changed.
+  using DidUpdate = std::function<void()>;
+
+  enum class Mode {
+    // Long polls: a change arrives within milliseconds.
+    kWait,
+    // Whole reads at intervals, for tables that change all the time.
+    kPoll,
+  };
+
+  struct Options {
+    std::string table;
+    Mode mode = Mode::kWait;
+    // How long a long poll waits, or the time between two reads.
+    Duration interval;
+    // The pause after a failed read.
+    Duration retry_interval = std::chrono::milliseconds(250);
+  };
+
+  TableFollower(Scheduler& scheduler,
+                RowStore& store,
+                Options options,
+                DidUpdate did_update);
+
+  void Start();
+
+  // Takes a copy that a peer read at `read_at` on this proxy's clock, or
+  // later.
+  void TakeCopy(const TableRows& copy, TimePoint read_at);
+
+  // The copy still held at `read_at`.
+  void Confirm(TimePoint read_at);
+
+  const Rows& rows() const { return this->row_by_key; }
+  // The version of the store that the copy shows; nothing before the first.
+  std::optional<uint64_t> version() const { return this->known_version; }
+  // When the read was sent that showed this copy.
+  TimePoint read_at() const { return this->newest_read_at; }
+  // When the store itself answered last; zero time before the first answer.
+  TimePoint store_answered_at() const { return this->answered_at; }
+  // Since when the store has answered without a failure.
+  std::optional<TimePoint> steady_since() const { return this->steady_from; }
+
+ private:
+  void Next();
+  void DidRead(uint64_t attempt,
+               TimePoint sent_at,
+               bool is_whole,
+               ValueOrError<TableRows> outcome);
+  void Apply(const TableRows& read, bool is_whole);
+
+  Scheduler& scheduler;
+  RowStore& store;
+  Options options;
+  DidUpdate did_update;
+  Rows row_by_key;
+  std::optional<uint64_t> known_version;
+  bool needs_whole_read = true;
+  TimePoint newest_read_at{};
+  TimePoint answered_at{};
+  std::optional<TimePoint> steady_from;
+  uint64_t attempt = 0;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBTABLES_TABLE_FOLLOWER_H_
--- a/Libraries/LibTarget/target_codec.cc
+++ b/Libraries/LibTarget/target_codec.cc
@@ -39,7 +39,8 @@
 
 Result<TargetStatus> DecodeStatus(const json& value) {
   TargetStatus status;
-  BOOST_LEAF_ASSIGN(status.role, DecodeEnum(value.at(0), TargetRole::kPrimary));
+  KINGCUPMILL_TRY_ASSIGN(status.role,
+                         DecodeEnum(value.at(0), TargetRole::kPrimary));
   status.term.value = value.at(1).get<uint64_t>();
   status.last_entry = DecodePoint(value.at(2));
   status.confirmed = DecodePoint(value.at(3));
@@ -75,12 +76,14 @@
       bytes, [](const json& message) -> Result<TargetRequest> {
         TargetRequest request;
         request.number = message.at(0).get<uint64_t>();
-        BOOST_LEAF_ASSIGN(request.operation,
-                          DecodeEnum(message.at(1), TargetOperation::kHold));
+        KINGCUPMILL_TRY_ASSIGN(
+            request.operation,
+            DecodeEnum(message.at(1), TargetOperation::kHold));
         request.term.value = message.at(2).get<uint64_t>();
         message.at(3).get_to(request.statements);
-        BOOST_LEAF_ASSIGN(request.acknowledge,
-                          DecodeEnum(message.at(4), Acknowledge::kMajority));
+        KINGCUPMILL_TRY_ASSIGN(
+            request.acknowledge,
+            DecodeEnum(message.at(4), Acknowledge::kMajority));
         request.minimum_position.value = message.at(5).get<uint64_t>();
         request.wait = Duration(message.at(6).get<int64_t>());
         message.at(7).get_to(request.proposer);
@@ -100,14 +103,14 @@
       bytes, [](const json& message) -> Result<TargetResponse> {
         TargetResponse response;
         response.number = message.at(0).get<uint64_t>();
-        BOOST_LEAF_ASSIGN(
+        KINGCUPMILL_TRY_ASSIGN(
             response.error,
             DecodeEnum(message.at(1), TargetErrorCode::kMalformed));
         message.at(2).get_to(response.message);
         message.at(3).get_to(response.failed_statement);
         message.at(4).get_to(response.results);
         response.point = DecodePoint(message.at(5));
-        BOOST_LEAF_ASSIGN(response.status, DecodeStatus(message.at(6)));
+        KINGCUPMILL_TRY_ASSIGN(response.status, DecodeStatus(message.at(6)));
         return response;
       });
 }
--- a/Libraries/LibWire/Forward.h
+++ b/Libraries/LibWire/Forward.h
@@ -6,11 +6,15 @@
 class EventLoop;
 class HttpClient;
 class HttpServer;
+class LineConnection;
+class LineListener;
+class ProcessSignals;
 class WebSocketClient;
 class WebSocketConnection;
 class WebSocketServer;
 struct HttpRequest;
 struct HttpResponse;
+struct LineHandlers;
 struct WebSocketHandlers;
 
 }  // namespace kingcupmill
--- a/Libraries/LibWire/event_loop.cc
+++ b/Libraries/LibWire/event_loop.cc
@@ -33,6 +33,14 @@
   this->state->thread = std::thread([this] { this->state->context.run(); });
 }
 
+void EventLoop::Run() {
+  this->state->context.run();
+}
+
+void EventLoop::Finish() {
+  this->state->context.stop();
+}
+
 void EventLoop::Stop() {
   this->state->context.stop();
   if (this->state->thread.joinable())
--- a/Libraries/LibWire/event_loop.h
+++ b/Libraries/LibWire/event_loop.h
@@ -24,6 +24,12 @@
   // Starts the loop's thread.
   void Start();
 
+  // Runs the loop on the calling thread until Finish() is called.
+  void Run();
+
+  // Makes Run() return. Called from a task.
+  void Finish();
+
   // Stops the loop and joins its thread. Pending tasks are dropped.
   void Stop();
 
--- /dev/null
+++ b/Libraries/LibWire/line_connection.cc
@@ -0,0 +1,292 @@
+#include "LibWire/line_connection.h"
+
+#include <netinet/tcp.h>
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "LibWire/event_loop.h"
+
+namespace kingcupmill {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr size_t kReadBytes = 4096;
+// What may wait for an end that does not read: two of the largest messages.
+constexpr size_t kMaximumUnsentBytes = 4U << 20U;
+// Bytes that the other end does not acknowledge for this long break the
+// connection; without it a cut hangs it for minutes.
+constexpr int kUnacknowledgedLimitMs = 2500;
+// A listener that is out of descriptors tries again after this.
+constexpr std::chrono::milliseconds kAcceptRetry{20};
+
+bool ParseEndpoint(const std::string& address, tcp::endpoint& endpoint) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos)
+    return false;
+  error_code error;
+  const auto ip =
+      boost::asio::ip::make_address(address.substr(0, colon), error);
+  const std::string port = address.substr(colon + 1);
+  if (error || port.empty() || port.size() > 5 ||
+      port.find_first_not_of("0123456789") != std::string::npos)
+    return false;
+  const int number = std::stoi(port);
+  if (number > 65535)
+    return false;
+  endpoint = tcp::endpoint(ip, static_cast<uint16_t>(number));
+  return true;
+}
+
+void SetOptions(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  using UserTimeout =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                  TCP_USER_TIMEOUT>;
+  socket.set_option(UserTimeout(kUnacknowledgedLimitMs), ignored);
+}
+
+}  // namespace
+
+struct LineConnection::State {
+  explicit State(tcp::socket socket) : socket(std::move(socket)) {}
+
+  tcp::socket socket;
+  LineHandlers handlers;
+  std::array<char, kReadBytes> chunk{};
+  std::string received;
+  // Where the search for the end of the first line goes on.
+  size_t scanned = 0;
+  std::string writing;
+  std::string unsent;
+  bool is_connected = false;
+  bool is_closing = false;
+  bool is_closed = false;
+};
+
+LineConnection::LineConnection(std::unique_ptr<State> state)
+    : state(std::move(state)) {}
+
+LineConnection::~LineConnection() = default;
+
+std::shared_ptr<LineConnection> LineConnection::Connect(
+    EventLoop& loop,
+    const std::string& address,
+    LineHandlers handlers) {
+  std::shared_ptr<LineConnection> connection(
+      new LineConnection(std::make_unique<State>(tcp::socket(loop.context()))));
+  connection->state->handlers = std::move(handlers);
+  tcp::endpoint endpoint;
+  if (!ParseEndpoint(address, endpoint)) {
+    boost::asio::post(loop.context(), [connection] { connection->Fail(); });
+    return connection;
+  }
+  connection->state->socket.async_connect(
+      endpoint, [connection](const error_code& error) {
+        if (connection->state->is_closed)
+          return;
+        if (error)
+          return connection->Fail();
+        connection->state->is_connected = true;
+        SetOptions(connection->state->socket);
+        connection->Read();
+        connection->Write();
+        const auto did_connect = connection->state->handlers.did_connect;
+        if (did_connect)
+          did_connect();
+      });
+  return connection;
+}
+
+void LineConnection::Start() {
+  this->state->is_connected = true;
+  SetOptions(this->state->socket);
+  this->Read();
+}
+
+void LineConnection::Read() {
+  this->state->socket.async_read_some(
+      boost::asio::buffer(this->state->chunk),
+      [self = this->shared_from_this()](const error_code& error, size_t count) {
+        if (self->state->is_closed)
+          return;
+        if (error)
+          return self->Fail();
+        self->DidRead(count);
+      });
+}
+
+void LineConnection::DidRead(size_t count) {
+  this->state->received.append(this->state->chunk.data(), count);
+  if (!this->TakeLines() || this->state->is_closed)
+    return;
+  if (this->state->received.size() > kMaximumLineBytes) {
+    spdlog::warn("event=line_too_long bytes={}", this->state->received.size());
+    const auto did_overflow = this->state->handlers.did_overflow;
+    return did_overflow ? did_overflow() : this->Fail();
+  }
+  this->Read();
+}
+
+bool LineConnection::TakeLines() {
+  std::string& received = this->state->received;
+  size_t start = 0;
+  size_t end = received.find("\r\n", this->state->scanned);
+  while (end != std::string::npos) {
+    // The handler may close this connection and drop its handlers.
+    const auto did_receive_line = this->state->handlers.did_receive_line;
+    if (did_receive_line)
+      did_receive_line(std::string_view(received).substr(start, end - start));
+    if (this->state->is_closed)
+      return false;
+    start = end + 2;
+    end = received.find("\r\n", start);
+  }
+  received.erase(0, start);
+  if (received.empty() && received.capacity() > 4 * kReadBytes)
+    received.shrink_to_fit();
+  this->state->scanned = received.empty() ? 0 : received.size() - 1;
+  return true;
+}
+
+void LineConnection::Send(std::string_view bytes) {
+  if (this->state->is_closed || this->state->is_closing)
+    return;
+  this->state->unsent.append(bytes);
+  if (this->state->unsent.size() > kMaximumUnsentBytes) {
+    spdlog::warn("event=peer_does_not_read bytes={}",
+                 this->state->unsent.size());
+    boost::asio::post(this->state->socket.get_executor(),
+                      [self = this->shared_from_this()] { self->Fail(); });
+    return;
+  }
+  this->Write();
+}
+
+void LineConnection::Write() {
+  if (!this->state->is_connected || !this->state->writing.empty())
+    return;
+  if (this->state->unsent.empty()) {
+    if (this->state->is_closing)
+      this->Abort();
+    return;
+  }
+  std::swap(this->state->writing, this->state->unsent);
+  boost::asio::async_write(
+      this->state->socket, boost::asio::buffer(this->state->writing),
+      [self = this->shared_from_this()](const error_code& error, size_t) {
+        if (self->state->is_closed)
+          return;
+        self->state->writing.clear();
+        if (error)
+          return self->Fail();
+        self->Write();
+      });
+}
+
+void LineConnection::Close() {
+  this->state->handlers = {};
+  this->state->is_closing = true;
+  if (!this->state->is_connected)
+    return this->Abort();
+  this->Write();
+}
+
+void LineConnection::Abort() {
+  this->state->handlers = {};
+  this->state->is_closed = true;
+  error_code ignored;
+  this->state->socket.shutdown(tcp::socket::shutdown_both, ignored);
+  this->state->socket.close(ignored);
+}
+
+void LineConnection::Fail() {
+  if (this->state->is_closed)
+    return;
+  const auto did_close = this->state->handlers.did_close;
+  this->Abort();
+  if (did_close)
+    did_close();
+}
+
+struct LineListener::State {
+  explicit State(EventLoop& loop) : loop(loop), acceptor(loop.context()) {}
+  EventLoop& loop;
+  tcp::acceptor acceptor;
+  DidAccept did_accept;
+};
+
+LineListener::LineListener(std::shared_ptr<State> state)
+    : state(std::move(state)) {}
+
+LineListener::~LineListener() {
+  this->Stop();
+}
+
+Result<std::unique_ptr<LineListener>> LineListener::Create(
+    EventLoop& loop,
+    const std::string& address,
+    DidAccept did_accept) {
+  tcp::endpoint endpoint;
+  if (!ParseEndpoint(address, endpoint))
+    return Fail(ErrorCode::kInvalidInput, "not IP:port: " + address);
+  auto state = std::make_shared<State>(loop);
+  state->did_accept = std::move(did_accept);
+  error_code error;
+  state->acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    state->acceptor.bind(endpoint, error);
+  if (!error)
+    state->acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                           error);
+  if (error)
+    return Fail(ErrorCode::kUnavailable,
+                "cannot listen on " + address + ": " + error.message());
+  Accept(state);
+  return std::unique_ptr<LineListener>(new LineListener(std::move(state)));
+}
+
+void LineListener::Accept(const std::shared_ptr<State>& state) {
+  state->acceptor.async_accept(
+      [state](const error_code& error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted ||
+            !state->acceptor.is_open())
+          return;
+        if (error) {
+          spdlog::warn("event=accept_failed error=\"{}\"", error.message());
+          state->loop.PostAfter(kAcceptRetry, [state] { Accept(state); });
+          return;
+        }
+        std::shared_ptr<LineConnection> connection(new LineConnection(
+            std::make_unique<LineConnection::State>(std::move(socket))));
+        state->did_accept(connection);
+        if (!connection->state->is_closed)
+          connection->Start();
+        Accept(state);
+      });
+}
+
+void LineListener::SetHandlers(LineConnection& connection,
+                               LineHandlers handlers) {
+  connection.state->handlers = std::move(handlers);
+}
+
+void LineListener::Stop() {
+  error_code ignored;
+  this->state->acceptor.close(ignored);
+}
+
+}  // namespace kingcupmill
--- a/Services/kingcupmill_standins.cc
+++ b/Services/kingcupmill_standins.cc
@@ -36,7 +36,7 @@
 }
 
 Result<int> Serve(const std::string& folder, StandinHost::Options options) {
-  BOOST_LEAF_AUTO(files, kingcupmill::ReadDeclarationFolder(folder));
+  KINGCUPMILL_TRY(files, kingcupmill::ReadDeclarationFolder(folder));
   std::vector<SettingError> errors;
   const Arrangement arrangement =
       kingcupmill::ArrangementParser::Parse(files, errors);
@@ -44,7 +44,7 @@
     std::fputs(kingcupmill::FormatErrors(errors).c_str(), stderr);
     return kExitDeclarations;
   }
-  BOOST_LEAF_AUTO(host, StandinHost::Create(arrangement, options));
+  KINGCUPMILL_TRY(host, StandinHost::Create(arrangement, options));
   spdlog::info("platform on {}, {} targets", options.platform_address,
                arrangement.targets.size());
   while (!termination_requested)
@@ -81,8 +81,7 @@
   std::signal(SIGTERM, DidReceiveTermination);
   std::signal(SIGINT, DidReceiveTermination);
   kingcupmill::HttpServer::InitializeThreads(kHttpThreads);
-  return boost::leaf::try_handle_all(
+  return kingcupmill::ValueOrHandled(
       [&]() -> Result<int> { return Serve(folder, options); },
-      [](const Error& error) { return Fail(error.message.c_str()); },
-      [] { return Fail("unknown error"); });
+      [](const Error& error) { return Fail(error.message.c_str()); });
 }
--- a/Services/kingcupmilld.cc
+++ b/Services/kingcupmilld.cc
@@ -47,7 +47,7 @@
 // Runs until SIGTERM or SIGINT, then drains.
 Result<int> Serve(const ProxySettings& settings) {
   std::random_device seed_source;
-  BOOST_LEAF_AUTO(daemon, ProxyDaemon::Create(settings, seed_source()));
+  KINGCUPMILL_TRY(daemon, ProxyDaemon::Create(settings, seed_source()));
   spdlog::info("serving on {} as {} in {}", settings.http_address,
                settings.options.vm.value, settings.options.place.value);
   while (!termination_requested && !daemon->is_drained())
@@ -76,9 +76,9 @@
   app.add_flag("--check", is_check_only, "Check the settings and exit");
   CLI11_PARSE(app, argc, argv);
 
-  return boost::leaf::try_handle_all(
+  return kingcupmill::ValueOrHandled(
       [&]() -> Result<int> {
-        BOOST_LEAF_AUTO(text, kingcupmill::ReadWholeFile(path));
+        KINGCUPMILL_TRY(text, kingcupmill::ReadWholeFile(path));
         std::vector<SettingError> errors;
         const ProxySettings settings =
             kingcupmill::ParseProxySettings(text, path, errors);
@@ -94,6 +94,5 @@
         kingcupmill::HttpServer::InitializeThreads(kHttpThreads);
         return Serve(settings);
       },
-      [](const Error& error) { return Fail(error.message.c_str()); },
-      [] { return Fail("unknown error"); });
+      [](const Error& error) { return Fail(error.message.c_str()); });
 }
--- a/Utilities/kingcupmill.cc
+++ b/Utilities/kingcupmill.cc
@@ -158,15 +158,14 @@
   CLI11_PARSE(app, argc, argv);
 
   kingcupmill::HttpServer::InitializeThreads(kHttpThreads);
-  return boost::leaf::try_handle_all(
+  return kingcupmill::ValueOrHandled(
       [&]() -> Result<int> {
         OperatorCommands commands(arguments.platform,
                                   Milliseconds(arguments.timeout_ms),
                                   arguments.format);
-        BOOST_LEAF_AUTO(output, chosen(commands));
+        KINGCUPMILL_TRY(output, chosen(commands));
         std::fputs(output.text.c_str(), stdout);
         return output.exit_code;
       },
-      [](const Error& error) { return Fail(error.message.c_str()); },
-      [] { return Fail("unknown error"); });
+      [](const Error& error) { return Fail(error.message.c_str()); });
 }
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -32,55 +32,49 @@
 constexpr size_t kHttpThreads = 64;
 
 int RunExperiment(const ExperimentOptions& options) {
-  return boost::leaf::try_handle_all(
+  return kingcupmill::ValueOrHandled(
       [&]() -> kingcupmill::Result<int> {
-        BOOST_LEAF_AUTO(experiment, Experiment::Create(options));
-        BOOST_LEAF_AUTO(report, experiment->Run());
+        KINGCUPMILL_TRY(experiment, Experiment::Create(options));
+        KINGCUPMILL_TRY(report, experiment->Run());
         const std::string table = kingcupmill::FormatReportAsTable(report);
         std::fputs(table.c_str(), stdout);
-        BOOST_LEAF_CHECK(kingcupmill::WriteWholeFile(
+        KINGCUPMILL_CHECK(kingcupmill::WriteWholeFile(
             options.report_path, kingcupmill::FormatReportAsJson(report)));
         return report.violations.total() == 0 ? kExitOk : kExitViolations;
       },
       [](const Error& error) {
         std::fprintf(stderr, "kingcupmill-lab: %s\n", error.message.c_str());
         return kExitFailed;
-      },
-      [] {
-        std::fprintf(stderr, "kingcupmill-lab: unknown error\n");
-        return kExitFailed;
       });
 }
 
 // Compares a read at a target with the same read through a proxy.
 int RunCost(const StatementCostOptions& options) {
-  return boost::leaf::try_handle_all(
+  return kingcupmill::ValueOrHandled(
       [&]() -> kingcupmill::Result<int> {
-        BOOST_LEAF_AUTO(cost, kingcupmill::MeasureStatementCost(options));
+        KINGCUPMILL_TRY(cost, kingcupmill::MeasureStatementCost(options));
         std::puts(kingcupmill::FormatStatementCost(cost).c_str());
         return kExitOk;
       },
       [](const Error& error) {
         std::fprintf(stderr, "kingcupmill-lab: %s\n", error.message.c_str());
         return kExitFailed;
-      },
-      [] { return kExitFailed; });
+      });
 }
 
 // Starts the embedded system without load and measures what control costs.
 int RunCapacity(const ExperimentOptions& options) {
-  return boost::leaf::try_handle_all(
+  return kingcupmill::ValueOrHandled(
       [&]() -> kingcupmill::Result<int> {
-        BOOST_LEAF_AUTO(experiment, Experiment::Create(options));
-        BOOST_LEAF_AUTO(cost, experiment->MeasureControl());
+        KINGCUPMILL_TRY(experiment, Experiment::Create(options));
+        KINGCUPMILL_TRY(cost, experiment->MeasureControl());
         std::puts(kingcupmill::FormatControlCost(cost).c_str());
         return kExitOk;
       },
       [](const Error& error) {
         std::fprintf(stderr, "kingcupmill-lab: %s\n", error.message.c_str());
         return kExitFailed;
-      },
-      [] { return kExitFailed; });
+      });
 }
 
 const std::map<std::string, Guard> kGuards = {
