LibDispatch: Count a primary's silence from a question that it left unanswered

Ruled out: the primary's own failure (it answered the step down within 6 ms). Change: silence starts with the first unanswered question, and idle primaries are probed too.

--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -25,8 +25,6 @@
 constexpr Duration kQueuedProbeTimeout = std::chrono::milliseconds(2500);
 // The primary is probed after this much silence, and again at this interval.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
-// A group without requests for this long is not probed.
-constexpr Duration kActiveFor = std::chrono::seconds(10);
 // A position must cover every commit acknowledged before the stated age; kept
 // back from the age for the way to the target.
 constexpr Duration kAgeMargin = std::chrono::milliseconds(100);
@@ -141,7 +139,6 @@
   work->did_finish = std::move(did_finish);
   work->key = QueueKey(work->request.route.priority, work->request.received_at,
                        work->number);
-  this->last_request_at = this->scheduler.Now();
   this->work_by_number.emplace(work->number, work);
   const WorkNumber number = work->number;
   this->Enqueue(work);
@@ -574,8 +571,10 @@
   target.last_answer_at = now;
   const PrimaryRecord* record = this->leases.Find(this->group);
   const bool is_primary = record && record->primary == target.entry.name;
-  if (is_primary)
+  if (is_primary) {
     this->primary_answered_at = now;
+    this->unanswered_since.reset();
+  }
   if (!answer.position)
     return;
   target.DidObserve(*answer.position, now);
@@ -615,8 +614,8 @@
     this->primary_name = record->primary;
     this->primary_term = record->term;
     this->did_primary_deny = false;
-    this->primary_known_since = this->scheduler.Now();
     this->primary_answered_at = TimePoint{};
+    this->unanswered_since.reset();
   }
   // Ending one tells its caller, who may drop this and others.
   const std::vector<OpenTransaction*> open(this->transactions.begin(),
@@ -649,8 +648,9 @@
 }
 
 Duration GroupDispatcher::PrimarySilence() const {
-  return this->scheduler.Now() -
-         std::max(this->primary_answered_at, this->primary_known_since);
+  if (!this->unanswered_since)
+    return Duration(0);
+  return this->scheduler.Now() - *this->unanswered_since;
 }
 
 bool GroupDispatcher::hears_replicas() const {
@@ -678,8 +678,6 @@
   const TimePoint now = this->scheduler.Now();
   this->Dispatch();
   this->Prune();
-  if (now - this->last_request_at > kActiveFor)
-    return;
   // Connections are made before they are needed, off the path of statements.
   for (const auto& [name, view] : this->target_by_name) {
     if (view->pool->open_count() + view->pool->opening_count() == 0)
@@ -695,6 +693,8 @@
     const bool is_primary = name == this->primary_name;
     if (!is_primary && !is_primary_silent)
       continue;
+    if (is_primary && !this->unanswered_since)
+      this->unanswered_since = now;
     const auto link = view->pool->AnyOpen();
     if (!link) {
       view->pool->Open();
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -61,7 +61,7 @@
   // Takes a proof from another proxy.
   void TakeProof(LogPoint point, TimePoint sent_at);
 
-  // How long the primary `record` has not answered this proxy.
+  // How long the primary has left this proxy's questions unanswered.
   Duration PrimarySilence() const;
   // Whether the target that should lead refused to.
   bool has_primary_denied() const { return this->did_primary_deny; }
@@ -160,9 +160,9 @@
   WorkNumber next_number = 1;
   bool is_dispatching = false;
   bool has_more_to_dispatch = false;
-  TimePoint last_request_at{};
   TimePoint primary_answered_at{};
-  TimePoint primary_known_since{};
+  // When the oldest question to the primary was sent that has no answer.
+  std::optional<TimePoint> unanswered_since;
   TargetName primary_name;
   Term primary_term;
   TimePoint probed_at{};
