LibCoordination: Name the ordered target in the store before the order

Ruled out: two holders of the duty (epochs 3 and 4, 4 s apart). Change: the row of a closing primary names the only target that may lead; a successor continues with it; only that target's report counts.

--- a/Libraries/LibCoordination/coordination_view.cc
+++ b/Libraries/LibCoordination/coordination_view.cc
@@ -35,7 +35,8 @@
   return json{{"term", primary.term.value},
               {"primary", primary.primary.value},
               {"closing", primary.state == PrimaryState::kClosing},
-              {"planned", primary.is_planned}}
+              {"planned", primary.is_planned},
+              {"ordered", primary.ordered.value}}
       .dump();
 }
 
@@ -87,6 +88,7 @@
     primary.state = value.at("closing").get<bool>() ? PrimaryState::kClosing
                                                     : PrimaryState::kServing;
     primary.is_planned = value.at("planned");
+    primary.ordered.value = value.at("ordered");
     primary.version = row.version;
     this->primary_records.push_back(std::move(primary));
     return;
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -53,10 +53,10 @@
 
 void FailoverAgent::Tick() {
   this->PingMembers();
-  if (this->is_leaving)
-    return;
-  for (const GroupName& group : this->context.groups())
-    this->TickGroup(group);
+  if (!this->is_leaving) {
+    for (const GroupName& group : this->context.groups())
+      this->TickGroup(group);
+  }
   for (auto& [group, handover] : this->handovers)
     handover->Tick();
   this->FinishHandovers();
@@ -359,9 +359,9 @@
 }
 
 void FailoverAgent::Leave() {
+  // What has been started goes on while the process lasts. An order may be under
+  // way, so the duty is released only at the end of it.
   this->is_leaving = true;
-  this->handovers.clear();
-  this->duty.Release();
 }
 
 }  // namespace kingcupmill
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -58,7 +58,7 @@
   // A peer has answered or asked.
   void DidHear(const std::string& address);
 
-  // Gives the duty up and starts nothing any more.
+  // Starts nothing any more; ends what is under way.
   void Leave();
 
   bool is_active() const { return !this->handovers.empty(); }
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -30,6 +30,8 @@
 constexpr Duration kDutyReserve = std::chrono::milliseconds(1500);
 // The pause after an order without an outcome.
 constexpr Duration kOrderRetry = std::chrono::milliseconds(150);
+// A promotion has taken effect by then.
+constexpr Duration kPromotionLimit = std::chrono::milliseconds(1400);
 // A promotion takes up to a second; one that has not happened by then is
 // ordered again.
 constexpr Duration kVerifyLimit = std::chrono::milliseconds(2500);
@@ -95,7 +97,13 @@
 void Handover::Tick() {
   // Somebody else has finished it.
   const PrimaryRecord* newest = this->Newest();
-  if (newest && newest->term > this->from.term && this->step != Step::kDone)
+  const bool is_reopened = newest &&
+                           newest->version > this->from.version &&
+                           newest->state == PrimaryState::kServing &&
+                           this->step > Step::kClose;
+  const bool is_settled =
+      newest && (newest->term > this->from.term || is_reopened);
+  if (is_settled && this->step != Step::kDone)
     return this->Enter(Step::kDone);
   if (this->step == Step::kDone)
     return;
@@ -118,6 +126,8 @@
       return this->TickStepDown();
     case Step::kChoose:
       return this->TickChoose();
+    case Step::kIntend:
+      return this->TickIntend();
     case Step::kPromote:
       return this->TickPromote();
     case Step::kVerify:
@@ -282,11 +292,12 @@
                          const StatementAnswer& answer) {
   const TargetReport& report = *answer.report;
   this->reports[target] = report;
-  const bool is_awaited = this->step == Step::kChoose ||
-                          this->step == Step::kPromote ||
-                          this->step == Step::kVerify;
-  // An earlier holder of the duty may have promoted it and not recorded it.
-  if (is_awaited && report.is_primary && report.term > this->from.term)
+  // Only the target that the store names may lead, and with a rival it leads
+  // for sure only once its own promotion has had its time.
+  const bool is_settled =
+      !this->has_rival || this->InStep() >= kPromotionLimit;
+  if (this->step == Step::kVerify && target == this->chosen && is_settled &&
+      report.is_primary && report.term > this->from.term)
     return this->Leads(target, report.term);
   if (this->step == Step::kChoose)
     this->Tick();
@@ -298,12 +309,19 @@
   this->next.primary = target;
   this->next.state = PrimaryState::kServing;
   this->next.is_planned = false;
+  this->next.ordered = TargetName{};
   this->Enter(Step::kRecord);
   this->Tick();
 }
 
 void Handover::TickChoose() {
   const TimePoint now = this->context.scheduler.Now();
+  // An earlier holder of the duty may have ordered this one already.
+  const TargetName& ordered = this->from.ordered;
+  if (!ordered.value.empty() && !this->excluded.contains(ordered)) {
+    this->chosen = ordered;
+    return this->Enter(Step::kPromote);
+  }
   const std::set<TargetName> candidates = this->context.candidates();
   if (now - this->asked_at >= kAskInterval) {
     this->asked_at = now;
@@ -335,8 +353,9 @@
       this->final_point &&
       this->reports.at(*best).received >= *this->final_point;
   const bool is_worth_waiting =
-      this->final_point ? !has_caught_up && this->InStep() < kCatchUpLimit
-                        : !has_all && this->InStep() < kReportLimit;
+      (!has_all && this->InStep() < kReportLimit) ||
+      (this->final_point && !has_caught_up &&
+       this->InStep() < kCatchUpLimit);
   if (is_worth_waiting)
     return;
   this->chosen = *best;
@@ -350,8 +369,41 @@
       this->final_point ? this->final_point->term.value : 0,
       this->final_point ? this->final_point->position.value : 0,
       this->reports.size());
-  this->Enter(Step::kPromote);
-  this->TickPromote();
+  this->Enter(Step::kIntend);
+  this->TickIntend();
+}
+
+void Handover::TickIntend() {
+  const TimePoint now = this->context.scheduler.Now();
+  if (this->is_call_pending && now - this->call_sent_at < kStoreRetry)
+    return;
+  // The row as the store has it, when the answer to an earlier try was lost.
+  if (const PrimaryRecord* newest = this->Newest();
+      newest && newest->version > this->from.version)
+    this->from = *newest;
+  if (this->from.ordered == this->chosen)
+    return this->Enter(Step::kPromote);
+  PrimaryRecord intended = this->from;
+  intended.ordered = this->chosen;
+  const std::string key = CoordinationView::PrimaryKey(intended.group);
+  TableChange change;
+  change.expected.push_back({key, this->from.version});
+  change.puts.push_back({key, CoordinationView::Encode(intended)});
+  this->is_call_pending = true;
+  this->call_sent_at = now;
+  this->context.store.Change(
+      CoordinationView::kTable, std::move(change),
+      this->life.Wrap([this, intended](ValueOrError<ChangeOutcome> outcome) {
+        const auto* applied = std::get_if<ChangeOutcome>(&outcome);
+        if (this->step != Step::kIntend || !applied || !applied->is_applied)
+          return;
+        this->has_rival =
+            this->has_rival || !this->from.ordered.value.empty();
+        this->from = intended;
+        this->from.version = applied->version;
+        this->Enter(Step::kPromote);
+        this->Tick();
+      }));
 }
 
 void Handover::TickPromote() {
@@ -395,6 +447,7 @@
   const TimePoint now = this->context.scheduler.Now();
   if (this->InStep() > kVerifyLimit) {
     this->reports.clear();
+    this->excluded.insert(this->chosen);
     return this->Enter(Step::kChoose);
   }
   if (now - this->asked_at < kAskInterval)
--- a/Libraries/LibCoordination/handover.h
+++ b/Libraries/LibCoordination/handover.h
@@ -29,9 +29,11 @@
 // 4. Step the old primary down, where it answers: its log ends.
 // 5. Choose the replica that has received most; wait for it to have received
 //    all that the old primary's log holds, where that is known.
-// 6. Order the promotion.
-// 7. Wait until the target leads a later term.
-// 8. Mark it as serving in the store.
+// 6. Write into the store which target is ordered to lead, so that a successor
+//    of this proxy knows the only one that may.
+// 7. Order the promotion.
+// 8. Wait until that target leads a later term.
+// 9. Mark it as serving in the store.
 class Handover {
  public:
   enum class Reason { kPlanned, kLost };
@@ -80,6 +82,7 @@
     kWaitForMembers,
     kStepDown,
     kChoose,
+    kIntend,
     kPromote,
     kVerify,
     kRecord,
@@ -92,6 +95,7 @@
   void TickWaitForMembers();
   void TickStepDown();
   void TickChoose();
+  void TickIntend();
   void TickPromote();
   void TickVerify();
   void TickRecord(const PrimaryRecord& next);
@@ -123,6 +127,8 @@
   std::optional<LogPoint> final_point;
   bool did_ask_step_down = false;
   TargetName chosen;
+  // Another target was ordered before; its term may be the newest for a moment.
+  bool has_rival = false;
   PrimaryRecord next;
   LifeGuard life;
 };
--- a/Libraries/LibPrimary/primary_record.h
+++ b/Libraries/LibPrimary/primary_record.h
@@ -22,6 +22,9 @@
   PrimaryState state = PrimaryState::kServing;
   // It is replaced while it works, so open transactions get a moment to end.
   bool is_planned = false;
+  // While closing: the target whose promotion was ordered last, or may have
+  // been. No other target can lead a later term.
+  TargetName ordered;
   // The version of the store in which this was written.
   uint64_t version = 0;
   friend bool operator==(const PrimaryRecord&, const PrimaryRecord&) = default;
