--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -359,8 +359,8 @@
 }
 
 void FailoverAgent::Leave() {
-  // What has been started goes on while the process lasts. An order may be under
-  // way, so the duty is released only at the end of it.
+  // What has been started goes on while the process lasts. An order may be
+  // under way, so the duty is released only at the end of it.
   this->is_leaving = true;
 }
 
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -97,8 +97,7 @@
 void Handover::Tick() {
   // Somebody else has finished it.
   const PrimaryRecord* newest = this->Newest();
-  const bool is_reopened = newest &&
-                           newest->version > this->from.version &&
+  const bool is_reopened = newest && newest->version > this->from.version &&
                            newest->state == PrimaryState::kServing &&
                            this->step > Step::kClose;
   const bool is_settled =
@@ -294,8 +293,7 @@
   this->reports[target] = report;
   // Only the target that the store names may lead, and with a rival it leads
   // for sure only once its own promotion has had its time.
-  const bool is_settled =
-      !this->has_rival || this->InStep() >= kPromotionLimit;
+  const bool is_settled = !this->has_rival || this->InStep() >= kPromotionLimit;
   if (this->step == Step::kVerify && target == this->chosen && is_settled &&
       report.is_primary && report.term > this->from.term)
     return this->Leads(target, report.term);
@@ -354,8 +352,7 @@
       this->reports.at(*best).received >= *this->final_point;
   const bool is_worth_waiting =
       (!has_all && this->InStep() < kReportLimit) ||
-      (this->final_point && !has_caught_up &&
-       this->InStep() < kCatchUpLimit);
+      (this->final_point && !has_caught_up && this->InStep() < kCatchUpLimit);
   if (is_worth_waiting)
     return;
   this->chosen = *best;
@@ -397,8 +394,7 @@
         const auto* applied = std::get_if<ChangeOutcome>(&outcome);
         if (this->step != Step::kIntend || !applied || !applied->is_applied)
           return;
-        this->has_rival =
-            this->has_rival || !this->from.ordered.value.empty();
+        this->has_rival = this->has_rival || !this->from.ordered.value.empty();
         this->from = intended;
         this->from.version = applied->version;
         this->Enter(Step::kPromote);
--- a/Libraries/LibCore/virtual_scheduler.h
+++ b/Libraries/LibCore/virtual_scheduler.h
@@ -28,7 +28,8 @@
     const auto due = this->due_by_id.find(timer);
     if (due == this->due_by_id.end())
       return;
-    this->tasks.erase(Key(due->second, timer));
+    // Dropping a task may cancel others.
+    const auto dropped = this->tasks.extract(Key(due->second, timer));
     this->due_by_id.erase(due);
   }
 
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -73,7 +73,13 @@
       group(std::move(group)),
       place(std::move(place)) {}
 
-GroupDispatcher::~GroupDispatcher() = default;
+GroupDispatcher::~GroupDispatcher() {
+  // Unanswered commands hold their links, so these must end here.
+  for (const auto& [name, view] : this->target_by_name)
+    view->pool->CloseAll();
+  for (const auto& view : this->retired)
+    view->pool->CloseAll();
+}
 
 void GroupDispatcher::SetTargets(std::span<const TargetEntry> entries,
                                  size_t link_limit) {
--- /dev/null
+++ b/Libraries/LibEmulator/Forward.h
@@ -0,0 +1,17 @@
+#ifndef LIBEMULATOR_FORWARD_H_
+#define LIBEMULATOR_FORWARD_H_
+
+namespace kingcupmill {
+
+class EmulatedCaller;
+class EmulatedGroup;
+class EmulatedNode;
+class EmulatedStore;
+class EmulatedTarget;
+class EmulatedWorld;
+class NodeScheduler;
+class PromiseChecker;
+
+}  // namespace kingcupmill
+
+#endif  // LIBEMULATOR_FORWARD_H_
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_caller.cc
@@ -0,0 +1,248 @@
+#include "LibEmulator/emulated_caller.h"
+
+#include <utility>
+
+#include "LibGateway/gateway_session.h"
+
+namespace kingcupmill {
+
+namespace {
+
+constexpr uint64_t kLongestThoughtMs = 40;
+constexpr uint64_t kMostSteps = 4;
+// A caller gives an answer up after this.
+constexpr Duration kPatience = std::chrono::seconds(4);
+
+bool IsPromise(StatementErrorCode code) {
+  switch (code) {
+    case StatementErrorCode::kBusy:
+    case StatementErrorCode::kAborted:
+    case StatementErrorCode::kLagging:
+    case StatementErrorCode::kReadOnly:
+    case StatementErrorCode::kMisrouted:
+    case StatementErrorCode::kConnectionLimit:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+EmulatedCaller::EmulatedCaller(VirtualScheduler& scheduler,
+                               PromiseChecker& checker,
+                               ChooseNode choose_node,
+                               std::string name,
+                               std::string database,
+                               CallerRoute route,
+                               uint64_t seed)
+    : scheduler(scheduler),
+      checker(checker),
+      choose_node(std::move(choose_node)),
+      name(std::move(name)),
+      database(std::move(database)),
+      route(std::move(route)),
+      random(seed) {}
+
+EmulatedCaller::~EmulatedCaller() {
+  this->Disconnect();
+}
+
+void EmulatedCaller::Start() {
+  this->Think();
+}
+
+void EmulatedCaller::Think() {
+  if (this->is_stopped)
+    return;
+  this->scheduler.PostAfter(
+      std::chrono::milliseconds(1 + this->random.Below(kLongestThoughtMs)),
+      [this] { this->Act(); });
+}
+
+bool EmulatedCaller::is_connected() {
+  return this->session && this->node && this->node->gateway() &&
+         this->node->start_count() == this->node_start;
+}
+
+void EmulatedCaller::DidLoseNode(const EmulatedNode* lost) {
+  if (this->node == lost)
+    this->Disconnect();
+}
+
+void EmulatedCaller::Disconnect() {
+  if (this->is_connected()) {
+    this->node->gateway()->DidCloseSession(this->session.get());
+    this->session.reset();
+  }
+  this->is_in_transaction = false;
+  this->outstanding.clear();
+}
+
+bool EmulatedCaller::Connect() {
+  if (this->is_connected())
+    return true;
+  this->Disconnect();
+  this->node = this->choose_node();
+  if (!this->node || !this->node->gateway())
+    return false;
+  this->node_start = this->node->start_count();
+  this->session = this->node->gateway()->OpenSession(*this, this->database);
+  ++this->session_number;
+  this->values.clear();
+  this->own_commit.reset();
+  this->is_prepared = false;
+  this->has_prepared_read = false;
+  return this->session != nullptr;
+}
+
+void EmulatedCaller::Act() {
+  if (this->is_stopped)
+    return;
+  this->Think();
+  if (!this->outstanding.empty()) {
+    // Nothing has come: the answer is given up, and the session with it.
+    if (!this->is_connected() ||
+        this->scheduler.Now() - this->sent_at > kPatience)
+      this->Disconnect();
+    return;
+  }
+  if (!this->Connect())
+    return;
+  if (this->is_in_transaction)
+    return this->NextInTransaction();
+  this->StartOperation();
+}
+
+CallerStatement EmulatedCaller::MakeStatement(bool is_write) {
+  CallerStatement statement;
+  if (this->is_prepared && this->random.Below(2) == 0) {
+    statement.kind = StatementKind::kExecute;
+    statement.name = is_write ? "put" : "get";
+    statement.value = "item";
+    return statement;
+  }
+  statement.kind = is_write ? StatementKind::kWrite : StatementKind::kRead;
+  statement.text = is_write ? "write item" : "read item";
+  return statement;
+}
+
+void EmulatedCaller::SendStatement(CallerStatement statement, bool is_write) {
+  statement.id = this->attempt + "-" + std::to_string(++this->statement_number);
+  PromiseChecker::Sent sent;
+  sent.attempt = this->attempt;
+  sent.session = this->name + "/" + std::to_string(this->session_number);
+  sent.group = this->route.group;
+  sent.kind = this->route.kind;
+  sent.maximum_staleness = this->route.maximum_staleness;
+  sent.is_in_transaction = this->is_in_transaction;
+  sent.is_write = is_write;
+  sent.sent_at =
+      this->is_in_transaction ? this->begun_at : this->scheduler.Now();
+  sent.values = this->values;
+  sent.own_commit = this->own_commit;
+  this->checker.DidSend(statement.id, std::move(sent));
+  this->outstanding = statement.id;
+  this->sent_at = this->scheduler.Now();
+  ++this->counted.sent;
+  this->session->DidReceive(std::move(statement));
+}
+
+void EmulatedCaller::StartOperation() {
+  this->attempt = this->name + "." + std::to_string(++this->attempt_number);
+  this->did_write = false;
+  const uint64_t kind = this->random.Below(20);
+  CallerStatement statement;
+  if (kind == 0) {
+    statement.kind = StatementKind::kSet;
+    statement.name = "value" + std::to_string(this->random.Below(3));
+    statement.value = std::to_string(this->random.Below(4));
+    this->values[statement.name] = statement.value;
+    this->expected_step = Step::kOwn;
+    return this->SendStatement(std::move(statement), false);
+  }
+  if (kind == 1 && !this->is_prepared) {
+    const bool is_first = !this->has_prepared_read;
+    statement.kind = StatementKind::kPrepare;
+    statement.name = is_first ? "get" : "put";
+    statement.shape = PreparedShape{
+        is_first ? StatementAccess::kRead : StatementAccess::kWrite,
+        "shape" + std::to_string(this->random.Below(2))};
+    this->is_prepared = this->has_prepared_read;
+    this->has_prepared_read = true;
+    this->expected_step = Step::kOwn;
+    return this->SendStatement(std::move(statement), false);
+  }
+  if (kind < 7) {
+    this->is_read_only = this->random.Below(3) == 0;
+    this->is_in_transaction = true;
+    this->begun_at = this->scheduler.Now();
+    this->steps_left = 1 + static_cast<int>(this->random.Below(kMostSteps));
+    CallerStatement begin;
+    begin.kind =
+        this->is_read_only ? StatementKind::kBeginRead : StatementKind::kBegin;
+    this->expected_step = Step::kOwn;
+    return this->SendStatement(std::move(begin), false);
+  }
+  const bool is_write = kind < 11;
+  this->did_write = is_write;
+  this->expected_step = Step::kSingle;
+  this->SendStatement(this->MakeStatement(is_write), is_write);
+}
+
+void EmulatedCaller::NextInTransaction() {
+  if (this->steps_left-- > 0) {
+    const bool is_write = !this->is_read_only && this->random.Below(2) == 0;
+    this->did_write = this->did_write || is_write;
+    this->expected_step = Step::kInside;
+    return this->SendStatement(this->MakeStatement(is_write), is_write);
+  }
+  if (this->random.Below(12) == 0) {
+    // Some leave in the middle.
+    return this->Disconnect();
+  }
+  CallerStatement end;
+  const bool is_rollback = this->random.Below(8) == 0;
+  end.kind = is_rollback ? StatementKind::kRollback : StatementKind::kCommit;
+  end.text = is_rollback ? "rollback" : "commit";
+  this->expected_step = is_rollback ? Step::kRollback : Step::kCommit;
+  this->SendStatement(std::move(end), false);
+}
+
+void EmulatedCaller::Send(const StatementAnswer& answer) {
+  if (this->outstanding.empty())
+    return;
+  const std::string request = std::exchange(this->outstanding, "");
+  const Step expected = this->expected_step;
+  if (expected != Step::kOwn && expected != Step::kRollback)
+    this->checker.DidAnswer(request, answer);
+  const bool is_end = expected == Step::kSingle || expected == Step::kCommit;
+  if (answer.error) {
+    const StatementErrorCode code = answer.error->code;
+    if (IsPromise(code)) {
+      ++this->counted.refused;
+      this->checker.DidPromiseNothingKept(this->attempt);
+    } else if (code == StatementErrorCode::kInDoubt) {
+      ++this->counted.in_doubt;
+    }
+    this->is_in_transaction = false;
+    // A failed transaction is left by closing the session.
+    if (answer.state != SessionState::kIdle)
+      this->scheduler.Post([this] { this->Disconnect(); });
+  } else {
+    ++this->counted.succeeded;
+    if (is_end && this->did_write) {
+      ++this->counted.writes_succeeded;
+      this->checker.DidAcknowledge(this->attempt);
+      this->own_commit = this->checker.CommitOf(this->attempt);
+    }
+    if (expected == Step::kCommit || expected == Step::kRollback)
+      this->is_in_transaction = false;
+  }
+}
+
+void EmulatedCaller::Close() {
+  this->scheduler.Post([this] { this->Disconnect(); });
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_group.cc
@@ -0,0 +1,92 @@
+#include "LibEmulator/emulated_group.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupmill {
+
+namespace {
+
+constexpr Duration kReplicationInterval = std::chrono::milliseconds(10);
+constexpr Duration kPromotionTime = std::chrono::milliseconds(300);
+constexpr size_t kTargets = 3;
+constexpr size_t kKeptLengths = 2000;
+
+}  // namespace
+
+EmulatedGroup::EmulatedGroup(VirtualScheduler& scheduler,
+                             PromiseChecker& checker,
+                             GroupName name,
+                             uint64_t seed)
+    : scheduler(scheduler), checker(checker), group_name(std::move(name)) {
+  for (size_t index = 0; index < kTargets; ++index) {
+    this->members.push_back(std::make_unique<EmulatedTarget>(
+        scheduler, checker, this->group_name,
+        TargetName{this->group_name.value + "-" + std::to_string(index)},
+        seed + index));
+  }
+  this->members[0]->Lead(Term{1});
+  this->Replicate();
+}
+
+EmulatedTarget* EmulatedGroup::Find(const TargetName& target) {
+  for (const auto& member : this->members) {
+    if (member->name() == target)
+      return member.get();
+  }
+  return nullptr;
+}
+
+void EmulatedGroup::Replicate() {
+  const TimePoint now = this->scheduler.Now();
+  EmulatedTarget& source = this->leader();
+  if (source.is_running()) {
+    this->lengths.emplace_back(now, source.log().size());
+    if (this->lengths.size() > kKeptLengths)
+      this->lengths.erase(this->lengths.begin());
+    size_t visible = 0;
+    for (const auto& [at, length] : this->lengths) {
+      if (at + this->lag <= now)
+        visible = length;
+    }
+    for (const auto& member : this->members) {
+      if (member.get() == &source || !member->is_running() || this->is_cut)
+        continue;
+      // One that led before follows once it reaches the new primary.
+      member->StepDown(source.term());
+      member->CopyLog(source.log(), visible, source.term());
+    }
+  }
+  this->scheduler.PostAfter(kReplicationInterval,
+                            [this] { this->Replicate(); });
+}
+
+bool EmulatedGroup::Promote(const TargetName& target) {
+  for (size_t index = 0; index < this->members.size(); ++index) {
+    if (this->members[index]->name() != target)
+      continue;
+    if (!this->members[index]->is_running())
+      return false;
+    if (index == this->leader_index)
+      return true;
+    this->scheduler.PostAfter(kPromotionTime,
+                              [this, index] { this->TakeOver(index); });
+    return true;
+  }
+  return false;
+}
+
+void EmulatedGroup::TakeOver(size_t index) {
+  if (!this->members[index]->is_running() || index == this->leader_index)
+    return;
+  const Term term{this->leader().term().value + 1};
+  this->leader_index = index;
+  ++this->promotion_count;
+  this->lengths.clear();
+  this->leader().Lead(term);
+  this->checker.DidPromote(this->group_name, this->leader().name(),
+                           this->leader().log());
+  this->lengths.emplace_back(TimePoint{}, this->leader().log().size());
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_group.h
@@ -0,0 +1,63 @@
+#ifndef LIBEMULATOR_EMULATED_GROUP_H_
+#define LIBEMULATOR_EMULATED_GROUP_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibCore/names.h"
+#include "LibCore/virtual_scheduler.h"
+#include "LibEmulator/emulated_target.h"
+#include "LibEmulator/promise_checker.h"
+
+namespace kingcupmill {
+
+// Three targets that replicate, and the outside authority's power over them.
+class EmulatedGroup {
+ public:
+  EmulatedGroup(VirtualScheduler& scheduler,
+                PromiseChecker& checker,
+                GroupName name,
+                uint64_t seed);
+
+  const GroupName& name() const { return this->group_name; }
+  EmulatedTarget* Find(const TargetName& target);
+  const std::vector<std::unique_ptr<EmulatedTarget>>& targets() const {
+    return this->members;
+  }
+  // The target that was promoted last.
+  EmulatedTarget& leader() { return *this->members[this->leader_index]; }
+
+  // Orders a promotion; returns false when the target does not run.
+  bool Promote(const TargetName& target);
+
+  // Replicas apply what is older than this.
+  void SetLag(Duration lag) { this->lag = lag; }
+  // The primary reaches no replica.
+  void SetCutFromReplicas(bool is_cut) { this->is_cut = is_cut; }
+
+  uint64_t promotions() const { return this->promotion_count; }
+
+ private:
+  void Replicate();
+  void TakeOver(size_t index);
+
+  VirtualScheduler& scheduler;
+  PromiseChecker& checker;
+  GroupName group_name;
+  std::vector<std::unique_ptr<EmulatedTarget>> members;
+  size_t leader_index = 0;
+  Duration lag = std::chrono::milliseconds(20);
+  bool is_cut = false;
+  uint64_t promotion_count = 0;
+  // How long the leader's log was at each moment of the recent past.
+  std::vector<std::pair<TimePoint, size_t>> lengths;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBEMULATOR_EMULATED_GROUP_H_
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -0,0 +1,270 @@
+#include "LibEmulator/emulated_node.h"
+
+#include <utility>
+
+#include "LibCore/life_guard.h"
+
+namespace kingcupmill {
+
+namespace {
+
+constexpr Duration kHop = std::chrono::milliseconds(1);
+constexpr Duration kOpenTime = std::chrono::milliseconds(12);
+// After this a target drops the session of a proxy that is gone.
+constexpr Duration kLinger = std::chrono::seconds(3);
+
+}  // namespace
+
+// Connections to emulated targets. What is sent while the path is cut is lost;
+// the connection stays silent.
+class EmulatedNode::Dialer final : public TargetDialer {
+ public:
+  Dialer(EmulatedNode& node, Scheduler& scheduler)
+      : node(node), scheduler(scheduler) {}
+
+  std::unique_ptr<TargetChannel> Dial(const TargetEndpoint& endpoint,
+                                      LinkHandlers handlers) override {
+    return std::make_unique<Channel>(this->node, this->scheduler, endpoint,
+                                     std::move(handlers));
+  }
+
+ private:
+  class Channel final : public TargetChannel {
+   public:
+    Channel(EmulatedNode& node,
+            Scheduler& scheduler,
+            const TargetEndpoint& endpoint,
+            LinkHandlers handlers)
+        : around(node.around),
+          from(node.node_address),
+          to(endpoint.target),
+          scheduler(scheduler),
+          target(node.around.groups.at(endpoint.group)->Find(endpoint.target)),
+          handlers(std::make_shared<LinkHandlers>(std::move(handlers))) {
+      this->scheduler.PostAfter(kOpenTime,
+                                this->life.Wrap([this] { this->Open(); }));
+    }
+
+    ~Channel() override { this->Close(); }
+
+    void Send(std::span<const TargetCommand> commands) override {
+      for (const TargetCommand& command : commands) {
+        if (this->is_cut())
+          continue;
+        this->around.world.PostAfter(
+            kHop, [target = this->target, session = this->session, command] {
+              if (session)
+                target->Submit(session, command);
+            });
+      }
+    }
+
+    void Close() override {
+      if (!this->session)
+        return;
+      this->session->did_answer = nullptr;
+      // The other end learns of it only if the path is whole.
+      this->around.world.PostAfter(
+          this->is_cut() ? kLinger : kHop,
+          [target = this->target, session = this->session] {
+            target->CloseSession(session);
+          });
+      this->session.reset();
+      *this->handlers = {};
+    }
+
+   private:
+    // A connection that lost something stays silent: bytes come in order or
+    // not at all.
+    bool is_cut() {
+      this->is_silent = this->is_silent ||
+                        this->around.cuts.is_cut(this->from, this->to.value);
+      return this->is_silent;
+    }
+
+    void Open() {
+      // A cut leaves the attempt hanging.
+      if (this->is_cut())
+        return;
+      this->session = this->target->OpenSession();
+      if (!this->session) {
+        const auto fail = this->handlers->did_fail;
+        if (fail)
+          fail(this->target->is_running() ? LinkFailure::kConnectionLimit
+                                          : LinkFailure::kLost);
+        return;
+      }
+      this->session->did_answer =
+          [this, weak = std::weak_ptr<EmulatedSession>(this->session),
+           deliver = this->life.Wrap([this](const StatementAnswer& answer) {
+             this->Deliver(answer);
+           })](StatementAnswer answer) {
+            if (weak.lock())
+              deliver(answer);
+          };
+      const auto open = this->handlers->did_open;
+      if (open)
+        open(this->target->position());
+    }
+
+    void Deliver(const StatementAnswer& answer) {
+      if (this->is_cut())
+        return;
+      this->scheduler.PostAfter(kHop, this->life.Wrap([this, answer] {
+        const auto receive = this->handlers->did_receive;
+        if (receive)
+          receive(answer);
+      }));
+    }
+
+    Surroundings& around;
+    std::string from;
+    TargetName to;
+    Scheduler& scheduler;
+    EmulatedTarget* target;
+    std::shared_ptr<LinkHandlers> handlers;
+    std::shared_ptr<EmulatedSession> session;
+    bool is_silent = false;
+    LifeGuard life;
+  };
+
+  EmulatedNode& node;
+  Scheduler& scheduler;
+};
+
+// Questions to other emulated proxies.
+class EmulatedNode::Links final : public PeerLinks {
+ public:
+  Links(EmulatedNode& node, Scheduler& scheduler)
+      : node(node), scheduler(scheduler) {}
+
+  void Ask(const std::string& address,
+           const PeerQuery& query,
+           Duration timeout,
+           DidAnswer did_answer) override {
+    auto is_answered = std::make_shared<bool>(false);
+    auto finish = this->life.Wrap(
+        [is_answered, did_answer](const std::optional<PeerAnswer>& answer) {
+          if (!std::exchange(*is_answered, true))
+            did_answer(answer);
+        });
+    this->scheduler.PostAfter(timeout, [finish] { finish(std::nullopt); });
+    if (this->node.around.cuts.is_cut(this->node.node_address, address))
+      return;
+    this->node.around.world.PostAfter(
+        kHop, [around = &this->node.around, own = this->node.node_address,
+               address, query, finish, own_scheduler = &this->scheduler,
+               alive = this->life.Wrap([] {})] {
+          EmulatedNode* peer = around->find_node(address);
+          if (!peer || !peer->gateway() || peer->is_frozen())
+            return;
+          peer->gateway()->HandleQuery(
+              query, [around, own, address, finish](const PeerAnswer& answer) {
+                if (around->cuts.is_cut(own, address))
+                  return;
+                around->world.PostAfter(kHop, [around, own, finish, answer] {
+                  EmulatedNode* asker = around->find_node(own);
+                  if (asker && !asker->is_frozen())
+                    finish(answer);
+                });
+              });
+        });
+  }
+
+ private:
+  EmulatedNode& node;
+  Scheduler& scheduler;
+  LifeGuard life;
+};
+
+class EmulatedNode::Authority final : public PromotionAuthority {
+ public:
+  Authority(EmulatedNode& node, Scheduler& scheduler)
+      : node(node), scheduler(scheduler) {}
+
+  void Promote(const Order& order, Duration, DidAnswer did_answer) override {
+    const bool is_running =
+        this->node.around.groups.at(order.group)->Promote(order.target);
+    this->scheduler.PostAfter(4 * kHop, [did_answer, is_running] {
+      did_answer(is_running ? PromotionOutcome::kAccepted
+                            : PromotionOutcome::kNotRunning);
+    });
+  }
+
+ private:
+  EmulatedNode& node;
+  Scheduler& scheduler;
+};
+
+struct EmulatedNode::Process {
+  Process(EmulatedNode& node, uint64_t seed)
+      : scheduler(node.around.world),
+        store(node.around.world, scheduler, node.around.store, seed),
+        dialer(node, scheduler),
+        links(node, scheduler),
+        authority(node, scheduler),
+        gateway(OptionsOf(node, seed),
+                Gateway::Surroundings{scheduler, store, dialer, links,
+                                      authority, node.around.codec}) {}
+
+  static Gateway::Options OptionsOf(const EmulatedNode& node, uint64_t seed) {
+    Gateway::Options options;
+    options.vm.value = "vm-" + node.node_address;
+    options.place = node.place;
+    options.peer_address = node.node_address;
+    options.incarnation = node.node_address + "#" + std::to_string(node.starts);
+    options.random_seed = seed;
+    return options;
+  }
+
+  NodeScheduler scheduler;
+  EmulatedStoreAccess store;
+  Dialer dialer;
+  Links links;
+  Authority authority;
+  Gateway gateway;
+};
+
+EmulatedNode::EmulatedNode(Surroundings around,
+                           std::string address,
+                           PlaceName place)
+    : around(std::move(around)),
+      node_address(std::move(address)),
+      place(std::move(place)) {}
+
+EmulatedNode::~EmulatedNode() = default;
+
+void EmulatedNode::Start(uint64_t seed) {
+  ++this->starts;
+  this->frozen_until = TimePoint{};
+  this->process = std::make_unique<Process>(*this, seed);
+  this->process->store.SetFault(this->store_fault);
+  this->process->gateway.Start();
+}
+
+void EmulatedNode::Kill() {
+  this->process.reset();
+}
+
+void EmulatedNode::Freeze(Duration duration) {
+  if (!this->process)
+    return;
+  this->frozen_until = this->around.world.Now() + duration;
+  this->process->scheduler.FreezeUntil(this->frozen_until);
+}
+
+bool EmulatedNode::is_frozen() const {
+  return this->around.world.Now() < this->frozen_until;
+}
+
+void EmulatedNode::SetStoreFault(EmulatedStoreAccess::Fault fault) {
+  this->store_fault = fault;
+  if (this->process)
+    this->process->store.SetFault(fault);
+}
+
+Gateway* EmulatedNode::gateway() {
+  return this->process ? &this->process->gateway : nullptr;
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -0,0 +1,83 @@
+#ifndef LIBEMULATOR_EMULATED_NODE_H_
+#define LIBEMULATOR_EMULATED_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "LibDirectory/directory_codec.h"
+#include "LibEmulator/emulated_group.h"
+#include "LibEmulator/emulated_store.h"
+#include "LibEmulator/node_scheduler.h"
+#include "LibGateway/gateway.h"
+
+namespace kingcupmill {
+
+// Which pairs cannot reach each other. Names are addresses of proxies and names
+// of targets.
+class EmulatedCuts {
+ public:
+  void Cut(const std::string& from, const std::string& to) {
+    this->pairs.emplace(from, to);
+  }
+  void HealAll() { this->pairs.clear(); }
+  bool is_cut(const std::string& from, const std::string& to) const {
+    return this->pairs.contains({from, to}) || this->pairs.contains({to, from});
+  }
+
+ private:
+  std::set<std::pair<std::string, std::string>> pairs;
+};
+
+// One proxy with emulated surroundings; the process in it can be killed and
+// started again.
+class EmulatedNode {
+ public:
+  // Finds the running proxy at an address, or null.
+  using FindNode = std::function<EmulatedNode*(const std::string&)>;
+
+  struct Surroundings {
+    VirtualScheduler& world;
+    EmulatedStore& store;
+    EmulatedCuts& cuts;
+    const DirectoryCodec& codec;
+    std::map<GroupName, std::unique_ptr<EmulatedGroup>>& groups;
+    FindNode find_node;
+  };
+
+  EmulatedNode(Surroundings around, std::string address, PlaceName place);
+  ~EmulatedNode();
+
+  void Start(uint64_t seed);
+  void Kill();
+  void Freeze(Duration duration);
+  void SetStoreFault(EmulatedStoreAccess::Fault fault);
+
+  // Null while the process is down.
+  Gateway* gateway();
+  const std::string& address() const { return this->node_address; }
+  bool is_frozen() const;
+  // Counts the starts: sessions of an earlier one are gone.
+  uint64_t start_count() const { return this->starts; }
+
+ private:
+  class Dialer;
+  class Links;
+  class Authority;
+  struct Process;
+
+  Surroundings around;
+  std::string node_address;
+  PlaceName place;
+  std::unique_ptr<Process> process;
+  uint64_t starts = 0;
+  TimePoint frozen_until{};
+  EmulatedStoreAccess::Fault store_fault = EmulatedStoreAccess::Fault::kNone;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBEMULATOR_EMULATED_NODE_H_
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_store.cc
@@ -0,0 +1,167 @@
+#include "LibEmulator/emulated_store.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace kingcupmill {
+
+namespace {
+
+constexpr Duration kCallTime = std::chrono::milliseconds(4);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
+// What a late change takes at most.
+constexpr uint64_t kLatestChangeMs = 6000;
+
+}  // namespace
+
+TableRows EmulatedStore::Snapshot(const std::string& table) const {
+  TableRows read;
+  read.version = this->version;
+  const auto found = this->tables.find(table);
+  if (found == this->tables.end())
+    return read;
+  for (const auto& [key, row] : found->second)
+    read.rows.push_back(row);
+  return read;
+}
+
+TableRows EmulatedStore::ChangesSince(const std::string& table,
+                                      uint64_t since) const {
+  TableRows read;
+  read.version = this->version;
+  const auto first =
+      std::upper_bound(this->changes.begin(), this->changes.end(), since,
+                       [](uint64_t bound, const Change& change) {
+                         return bound < change.row.version;
+                       });
+  for (auto change = first; change != this->changes.end(); ++change) {
+    if (change->table == table)
+      read.rows.push_back(change->row);
+  }
+  return read;
+}
+
+ChangeOutcome EmulatedStore::Apply(const std::string& table,
+                                   const TableChange& change) {
+  Table& rows = this->tables[table];
+  for (const auto& expected : change.expected) {
+    const auto row = rows.find(expected.key);
+    const uint64_t actual = row == rows.end() ? 0 : row->second.version;
+    if (actual != expected.version)
+      return ChangeOutcome{};
+  }
+  ++this->version;
+  for (const auto& put : change.puts)
+    this->Write(table, StoreRow{put.key, put.value, this->version, false});
+  for (const std::string& key : change.removals)
+    this->Write(table, StoreRow{key, "", this->version, true});
+  const ChangeOutcome outcome{true, this->version};
+  this->Wake(table);
+  return outcome;
+}
+
+void EmulatedStore::Put(const std::string& table,
+                        const std::string& key,
+                        const std::string& value) {
+  TableChange change;
+  change.puts.push_back({key, value});
+  this->Apply(table, change);
+}
+
+void EmulatedStore::Remove(const std::string& table, const std::string& key) {
+  TableChange change;
+  change.removals.push_back(key);
+  this->Apply(table, change);
+}
+
+void EmulatedStore::Write(const std::string& table, StoreRow row) {
+  if (row.is_removed)
+    this->tables[table].erase(row.key);
+  else
+    this->tables[table].insert_or_assign(row.key, row);
+  this->changes.push_back(Change{table, std::move(row)});
+}
+
+void EmulatedStore::Await(const std::string& table,
+                          std::function<void()> wake) {
+  this->waiting[table].push_back(std::move(wake));
+}
+
+void EmulatedStore::Wake(const std::string& table) {
+  for (auto& wake : std::exchange(this->waiting[table], {}))
+    this->scheduler.Post(std::move(wake));
+}
+
+template <typename Outcome>
+void EmulatedStoreAccess::Deliver(Duration delay,
+                                  std::function<void(Outcome)> callback,
+                                  Outcome outcome) {
+  this->scheduler.PostAfter(
+      delay, [callback = std::move(callback), outcome = std::move(outcome)] {
+        callback(outcome);
+      });
+}
+
+void EmulatedStoreAccess::Read(std::string_view table, DidRead did_read) {
+  using Outcome = ValueOrError<TableRows>;
+  if (this->fault == Fault::kRefuses)
+    return this->Deliver<Outcome>(kCallTime, did_read,
+                                  Error{ErrorCode::kUnavailable, "refused"});
+  if (this->fault == Fault::kSilent)
+    return this->Deliver<Outcome>(kCallTimeout, did_read,
+                                  Error{ErrorCode::kTimeout, "silent"});
+  this->Deliver<Outcome>(kCallTime, did_read,
+                         this->store.Snapshot(std::string(table)));
+}
+
+void EmulatedStoreAccess::Follow(std::string_view table,
+                                 uint64_t version,
+                                 Duration wait,
+                                 DidRead did_read) {
+  using Outcome = ValueOrError<TableRows>;
+  if (this->fault == Fault::kRefuses || this->fault == Fault::kSilent)
+    return this->Read(table, std::move(did_read));
+  const std::string name(table);
+  // The first of a change and the end of the wait answers.
+  auto is_answered = std::make_shared<bool>(false);
+  auto answer = [this, name, version, is_answered, did_read] {
+    if (std::exchange(*is_answered, true))
+      return;
+    this->Deliver<Outcome>(kCallTime, did_read,
+                           this->store.ChangesSince(name, version));
+  };
+  if (!this->store.ChangesSince(name, version).rows.empty())
+    return answer();
+  // The store outlives the process.
+  this->store.Await(name, this->life.Wrap(answer));
+  this->scheduler.PostAfter(wait, answer);
+}
+
+void EmulatedStoreAccess::Change(std::string_view table,
+                                 TableChange change,
+                                 DidChange did_change) {
+  using Outcome = ValueOrError<ChangeOutcome>;
+  if (this->fault == Fault::kRefuses)
+    return this->Deliver<Outcome>(kCallTime, did_change,
+                                  Error{ErrorCode::kUnavailable, "refused"});
+  const Outcome lost = Error{ErrorCode::kTimeout, "no answer"};
+  if (this->fault == Fault::kSilent)
+    return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
+  const std::string name(table);
+  if (this->fault == Fault::kPerformsLate) {
+    const auto delay =
+        std::chrono::milliseconds(1000 + this->random.Below(kLatestChangeMs));
+    // What has been sent arrives whatever becomes of its sender.
+    this->world.PostAfter(delay, [store = &this->store, name, change] {
+      store->Apply(name, change);
+    });
+    return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
+  }
+  const ChangeOutcome outcome = this->store.Apply(name, change);
+  if (this->fault == Fault::kLosesAnswers)
+    return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
+  this->Deliver<Outcome>(kCallTime, did_change, outcome);
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_store.h
@@ -0,0 +1,104 @@
+#ifndef LIBEMULATOR_EMULATED_STORE_H_
+#define LIBEMULATOR_EMULATED_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "LibCore/life_guard.h"
+#include "LibCore/random_source.h"
+#include "LibCore/virtual_scheduler.h"
+#include "LibTables/row_store.h"
+
+namespace kingcupmill {
+
+// A small stand-in for the platform's store. It keeps every change.
+class EmulatedStore {
+ public:
+  explicit EmulatedStore(VirtualScheduler& scheduler) : scheduler(scheduler) {}
+
+  // Returns a whole table, and the changes of a table after a version.
+  TableRows Snapshot(const std::string& table) const;
+  TableRows ChangesSince(const std::string& table, uint64_t version) const;
+
+  ChangeOutcome Apply(const std::string& table, const TableChange& change);
+
+  // Writes one row without a condition; removes one.
+  void Put(const std::string& table,
+           const std::string& key,
+           const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+
+  // Calls `wake` once when `table` changes.
+  void Await(const std::string& table, std::function<void()> wake);
+
+  uint64_t newest_version() const { return this->version; }
+
+ private:
+  struct Change {
+    std::string table;
+    StoreRow row;
+  };
+  using Table = std::map<std::string, StoreRow>;
+
+  void Write(const std::string& table, StoreRow row);
+  void Wake(const std::string& table);
+
+  VirtualScheduler& scheduler;
+  std::map<std::string, Table> tables;
+  std::vector<Change> changes;
+  std::map<std::string, std::vector<std::function<void()>>> waiting;
+  uint64_t version = 0;
+};
+
+// How one process reaches the store.
+class EmulatedStoreAccess final : public RowStore {
+ public:
+  enum class Fault {
+    kNone,
+    // The call is refused at once; nothing is done.
+    kRefuses,
+    // No answer comes.
+    kSilent,
+    // Changes are made and not answered.
+    kLosesAnswers,
+    // Changes are made seconds later if their condition still holds.
+    kPerformsLate,
+  };
+
+  EmulatedStoreAccess(VirtualScheduler& world,
+                      Scheduler& scheduler,
+                      EmulatedStore& store,
+                      uint64_t seed)
+      : world(world), scheduler(scheduler), store(store), random(seed) {}
+
+  void SetFault(Fault fault) { this->fault = fault; }
+
+  void Read(std::string_view table, DidRead did_read) override;
+  void Follow(std::string_view table,
+              uint64_t version,
+              Duration wait,
+              DidRead did_read) override;
+  void Change(std::string_view table,
+              TableChange change,
+              DidChange did_change) override;
+
+ private:
+  template <typename Outcome>
+  void Deliver(Duration delay,
+               std::function<void(Outcome)> callback,
+               Outcome outcome);
+
+  VirtualScheduler& world;
+  Scheduler& scheduler;
+  EmulatedStore& store;
+  SeededRandom random;
+  Fault fault = Fault::kNone;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBEMULATOR_EMULATED_STORE_H_
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_target.cc
@@ -0,0 +1,279 @@
+#include "LibEmulator/emulated_target.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupmill {
+
+namespace {
+
+// A statement takes up to this on a target without other work.
+constexpr uint64_t kLongestWorkMs = 20;
+
+bool is_write(const TargetCommand& command) {
+  return command.kind == TargetCommandKind::kExecute
+             ? command.shape.access == StatementAccess::kWrite
+             : command.text.starts_with("write");
+}
+
+bool is_commit(const TargetCommand& command) {
+  return command.kind == TargetCommandKind::kStatement &&
+         command.text == "commit";
+}
+
+// Only callers' statements work; the rest is answered at once.
+bool needs_work(const TargetCommand& command) {
+  return command.kind == TargetCommandKind::kStatement ||
+         command.kind == TargetCommandKind::kExecute;
+}
+
+// The attempt stands before the last dash of a request's id.
+std::string AttemptOf(const std::string& request_id) {
+  return request_id.substr(0, request_id.rfind('-'));
+}
+
+}  // namespace
+
+EmulatedTarget::EmulatedTarget(VirtualScheduler& scheduler,
+                               PromiseChecker& checker,
+                               GroupName group,
+                               TargetName name,
+                               uint64_t seed)
+    : scheduler(scheduler),
+      checker(checker),
+      group(std::move(group)),
+      target_name(std::move(name)),
+      random(seed) {}
+
+LogPoint EmulatedTarget::position() const {
+  if (this->entries.empty())
+    return LogPoint{Term{1}, Position{0}};
+  return this->entries.back().point;
+}
+
+bool EmulatedTarget::has(const LogPoint& point) const {
+  const uint64_t number = point.position.value;
+  if (number == 0)
+    return true;
+  return number <= this->entries.size() &&
+         this->entries[number - 1].point == point;
+}
+
+void EmulatedTarget::Crash() {
+  this->running = false;
+  for (const auto& session : std::exchange(this->sessions, {}))
+    session->is_open = false;
+}
+
+void EmulatedTarget::Start() {
+  this->running = true;
+}
+
+void EmulatedTarget::Lead(Term term) {
+  this->leads = true;
+  this->current_term = term;
+}
+
+void EmulatedTarget::StepDown(Term term) {
+  if (this->current_term < term)
+    this->leads = false;
+}
+
+void EmulatedTarget::CopyLog(const std::vector<CommitEntry>& source,
+                             size_t count,
+                             Term term) {
+  this->current_term = std::max(this->current_term, term);
+  size_t common = 0;
+  while (common < this->entries.size() && common < source.size() &&
+         this->entries[common] == source[common])
+    ++common;
+  if (common < this->entries.size() && this->entries.size() > source.size())
+    this->entries.resize(common);
+  if (common < this->entries.size())
+    this->entries.resize(common);
+  while (this->entries.size() < std::min(count, source.size()))
+    this->entries.push_back(source[this->entries.size()]);
+}
+
+std::shared_ptr<EmulatedSession> EmulatedTarget::OpenSession() {
+  if (!this->running || this->sessions.size() >= kMaximumSessions)
+    return nullptr;
+  auto session = std::make_shared<EmulatedSession>();
+  this->sessions.insert(session);
+  this->most_sessions_seen =
+      std::max(this->most_sessions_seen, this->sessions.size());
+  return session;
+}
+
+void EmulatedTarget::CloseSession(
+    const std::shared_ptr<EmulatedSession>& session) {
+  session->is_open = false;
+  this->sessions.erase(session);
+}
+
+void EmulatedTarget::Submit(const std::shared_ptr<EmulatedSession>& session,
+                            TargetCommand command) {
+  if (!session->is_open || !this->running)
+    return;
+  session->commands.push_back(std::move(command));
+  this->Next(session);
+}
+
+void EmulatedTarget::Next(const std::shared_ptr<EmulatedSession>& session) {
+  if (session->is_busy || session->commands.empty() || !session->is_open)
+    return;
+  session->is_busy = true;
+  const Duration work = needs_work(session->commands.front())
+                            ? Duration(std::chrono::milliseconds(
+                                  1 + this->random.Below(kLongestWorkMs)))
+                            : Duration(std::chrono::microseconds(100));
+  // The statement runs at the end of its work.
+  this->scheduler.PostAfter(work, [this, session] {
+    if (!session->is_open || !this->running)
+      return;
+    const TargetCommand command = std::move(session->commands.front());
+    session->commands.pop_front();
+    session->is_busy = false;
+    StatementAnswer answer = this->Execute(*session, command);
+    answer.state = session->state;
+    answer.position = this->position();
+    if (session->did_answer)
+      session->did_answer(std::move(answer));
+    this->Next(session);
+  });
+}
+
+StatementAnswer EmulatedTarget::Refuse(EmulatedSession& session,
+                                       StatementErrorCode code) {
+  if (session.state == SessionState::kInTransaction)
+    session.state = SessionState::kFailedTransaction;
+  StatementAnswer answer;
+  answer.error = StatementError{code, this->target_name.value};
+  return answer;
+}
+
+StatementAnswer EmulatedTarget::Done(const EmulatedSession&) const {
+  return StatementAnswer{};
+}
+
+StatementAnswer EmulatedTarget::Execute(EmulatedSession& session,
+                                        const TargetCommand& command) {
+  switch (command.kind) {
+    case TargetCommandKind::kReset:
+      session.values.clear();
+      session.prepared.clear();
+      return this->Done(session);
+    case TargetCommandKind::kSet:
+      session.values[command.name] = command.value;
+      return this->Done(session);
+    case TargetCommandKind::kPrepare:
+      session.prepared[command.name] = command.shape;
+      return this->Done(session);
+    case TargetCommandKind::kProbe:
+      return this->Done(session);
+    case TargetCommandKind::kRollback:
+      session.state = SessionState::kIdle;
+      session.transaction_attempt.clear();
+      return this->Done(session);
+    case TargetCommandKind::kBegin:
+    case TargetCommandKind::kBeginRead:
+      return this->Begin(session, command);
+    case TargetCommandKind::kStepDown:
+      this->StepDown(command.term);
+      [[fallthrough]];
+    case TargetCommandKind::kStatus: {
+      StatementAnswer answer;
+      answer.report =
+          TargetReport{this->leads, this->current_term, this->position()};
+      return answer;
+    }
+    case TargetCommandKind::kStatement:
+    case TargetCommandKind::kExecute:
+      if (session.state == SessionState::kFailedTransaction)
+        return this->Refuse(session, StatementErrorCode::kMalformed);
+      if (is_commit(command))
+        return this->Commit(session, command);
+      return this->RunStatement(session, command);
+  }
+  return this->Done(session);
+}
+
+StatementAnswer EmulatedTarget::Begin(EmulatedSession& session,
+                                      const TargetCommand& command) {
+  const bool is_plain = command.kind == TargetCommandKind::kBegin;
+  if (is_plain && !this->leads)
+    return this->Refuse(session, StatementErrorCode::kReadOnly);
+  if (command.required_position && !this->has(*command.required_position))
+    return this->Refuse(session, StatementErrorCode::kLagging);
+  session.state = SessionState::kInTransaction;
+  session.is_read_only = !is_plain;
+  session.has_written = false;
+  session.transaction_attempt.clear();
+  return this->Done(session);
+}
+
+std::string EmulatedTarget::RunChecked(EmulatedSession& session,
+                                       const std::string& request_id) {
+  PromiseChecker::Run run;
+  run.request_id = request_id;
+  run.target = this->target_name;
+  run.is_in_transaction = session.state != SessionState::kIdle;
+  run.transaction_attempt = session.transaction_attempt;
+  run.values = &session.values;
+  run.log = &this->entries;
+  return this->checker.DidRun(run);
+}
+
+StatementAnswer EmulatedTarget::RunStatement(EmulatedSession& session,
+                                             const TargetCommand& command) {
+  const bool is_plain_transaction =
+      session.state == SessionState::kInTransaction && !session.is_read_only;
+  if ((is_write(command) || is_plain_transaction) && !this->leads)
+    return this->Refuse(session, StatementErrorCode::kReadOnly);
+  if (command.required_position && !this->has(*command.required_position))
+    return this->Refuse(session, StatementErrorCode::kLagging);
+  if (command.kind == TargetCommandKind::kExecute) {
+    const auto prepared = session.prepared.find(command.name);
+    if (prepared == session.prepared.end() || prepared->second != command.shape)
+      return this->Refuse(session, StatementErrorCode::kNoPreparedStatement);
+  }
+  StatementAnswer answer;
+  answer.receipt = this->RunChecked(session, command.request_id);
+  answer.rows = {command.request_id};
+  const std::string attempt = AttemptOf(command.request_id);
+  if (session.state == SessionState::kInTransaction) {
+    session.transaction_attempt = attempt;
+    session.has_written = session.has_written || is_write(command);
+  } else if (is_write(command)) {
+    this->Append(attempt);
+  }
+  return answer;
+}
+
+StatementAnswer EmulatedTarget::Commit(EmulatedSession& session,
+                                       const TargetCommand& command) {
+  if (session.state != SessionState::kInTransaction)
+    return this->Refuse(session, StatementErrorCode::kMalformed);
+  if (session.has_written && !this->leads) {
+    session.state = SessionState::kIdle;
+    return this->Refuse(session, StatementErrorCode::kReadOnly);
+  }
+  StatementAnswer answer;
+  answer.receipt = this->RunChecked(session, command.request_id);
+  session.state = SessionState::kIdle;
+  if (session.has_written)
+    this->Append(AttemptOf(command.request_id));
+  session.transaction_attempt.clear();
+  return answer;
+}
+
+void EmulatedTarget::Append(const std::string& attempt) {
+  CommitEntry entry;
+  entry.point =
+      LogPoint{this->current_term, Position{this->entries.size() + 1}};
+  entry.attempt = attempt;
+  this->entries.push_back(entry);
+  this->checker.DidCommit(this->group, this->target_name, entry);
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_world.cc
@@ -0,0 +1,316 @@
+#include "LibEmulator/emulated_world.h"
+
+#include <utility>
+
+namespace kingcupmill {
+
+namespace {
+
+constexpr const char* kConfigurationTable = "configuration";
+constexpr const char* kTargetsTable = "targets";
+constexpr const char* kConfigurationKey = "newest";
+constexpr Duration kRoleInterval = std::chrono::milliseconds(200);
+// An entry is removed after three heartbeats of silence.
+constexpr Duration kEntryLife = std::chrono::milliseconds(3600);
+// A leaving target works on for this long.
+constexpr Duration kLeavingTime = std::chrono::seconds(8);
+constexpr Duration kStartTime = std::chrono::seconds(6);
+
+const char* const kPlaces[] = {"place-a", "place-b", "place-c"};
+
+}  // namespace
+
+// Rows hold indexes into what was published.
+class EmulatedWorld::Codec final : public DirectoryCodec {
+ public:
+  std::string configuration_table() const override {
+    return kConfigurationTable;
+  }
+  std::string targets_table() const override { return kTargetsTable; }
+
+  Result<RouteTable> DecodeRoutes(
+      const TableFollower::Rows& rows) const override {
+    const auto row = rows.find(kConfigurationKey);
+    if (row == rows.end())
+      return Fail(ErrorCode::kNotFound, "nothing is declared");
+    return this->tables.at(std::stoul(row->second.value));
+  }
+
+  std::vector<TargetEntry> DecodeTargets(
+      const TableFollower::Rows& rows) const override {
+    std::vector<TargetEntry> read;
+    for (const auto& [key, row] : rows)
+      read.push_back(this->entries.at(std::stoul(row.value)));
+    return read;
+  }
+
+  std::string Add(RouteTable table) {
+    this->tables.push_back(std::move(table));
+    return std::to_string(this->tables.size() - 1);
+  }
+  std::string Add(TargetEntry entry) {
+    this->entries.push_back(std::move(entry));
+    return std::to_string(this->entries.size() - 1);
+  }
+
+ private:
+  std::vector<RouteTable> tables;
+  std::vector<TargetEntry> entries;
+};
+
+EmulatedWorld::EmulatedWorld(Options options)
+    : options(options),
+      random(options.seed),
+      promise_checker([this] { return this->scheduler.Now(); }),
+      emulated_store(this->scheduler),
+      codec(std::make_unique<Codec>()) {
+  for (size_t index = 0; index < options.groups; ++index) {
+    const GroupName name{"group-" + std::to_string(index)};
+    this->groups.emplace(name, std::make_unique<EmulatedGroup>(
+                                   this->scheduler, this->promise_checker, name,
+                                   options.seed * 31 + index));
+  }
+  EmulatedNode::Surroundings around{
+      this->scheduler,
+      this->emulated_store,
+      this->cuts,
+      *this->codec,
+      this->groups,
+      [this](const std::string& address) -> EmulatedNode* {
+        for (const auto& node : this->nodes) {
+          if (node->address() == address)
+            return node.get();
+        }
+        return nullptr;
+      }};
+  for (size_t index = 0; index < options.nodes; ++index) {
+    this->nodes.push_back(std::make_unique<EmulatedNode>(
+        around, "10.0.0." + std::to_string(index + 1) + ":7000",
+        PlaceName{kPlaces[index % 3]}));
+  }
+}
+
+EmulatedWorld::~EmulatedWorld() {
+  this->callers.clear();
+  this->nodes.clear();
+}
+
+EmulatedGroup& EmulatedWorld::group(size_t index) {
+  return *this->groups.at(GroupName{"group-" + std::to_string(index)});
+}
+
+void EmulatedWorld::PublishConfiguration() {
+  RouteTable table;
+  table.revision = Revision{++this->revision};
+  for (const auto& [name, group] : this->groups) {
+    table.groups[name] = GroupDeclaration{EmulatedTarget::kMaximumSessions, 0};
+    for (const auto kind : {RouteKind::kPrimary, RouteKind::kBoundedStale,
+                            RouteKind::kReadYourWrites}) {
+      CallerRoute route;
+      route.kind = kind;
+      route.group = name;
+      route.maximum_staleness = std::chrono::milliseconds(1500);
+      route.statement_timeout =
+          std::chrono::milliseconds(800 + this->revision % 7);
+      table.route_by_database[name.value + "/" +
+                              std::to_string(static_cast<int>(kind))] = route;
+    }
+  }
+  this->emulated_store.Put(kConfigurationTable, kConfigurationKey,
+                           this->codec->Add(std::move(table)));
+}
+
+void EmulatedWorld::PublishTarget(const EmulatedTarget& target,
+                                  const GroupName& group,
+                                  bool leaving) {
+  TargetEntry entry;
+  entry.name = target.name();
+  entry.group = group;
+  entry.address = target.name().value;
+  entry.place = PlaceName{kPlaces[target.name().value.back() % 3]};
+  entry.state = leaving ? TargetState::kLeaving : TargetState::kReady;
+  entry.slots = 2;
+  entry.started_at_ms = this->starts[target.name()];
+  entry.is_primary = target.is_primary();
+  this->emulated_store.Put(kTargetsTable, target.name().value,
+                           this->codec->Add(std::move(entry)));
+}
+
+void EmulatedWorld::PublishRoles() {
+  for (const auto& [name, group] : this->groups) {
+    for (const auto& target : group->targets()) {
+      if (target->is_running())
+        this->PublishTarget(*target, name, this->is_leaving[target->name()]);
+    }
+  }
+  this->scheduler.PostAfter(kRoleInterval, [this] { this->PublishRoles(); });
+}
+
+void EmulatedWorld::Start() {
+  this->PublishConfiguration();
+  this->PublishRoles();
+  for (size_t index = 0; index < this->nodes.size(); ++index)
+    this->nodes[index]->Start(this->options.seed * 101 + index);
+  this->RunFor(std::chrono::seconds(4));
+  for (size_t index = 0; index < this->options.callers; ++index) {
+    const auto kind = static_cast<RouteKind>(index % 3);
+    CallerRoute route;
+    route.kind = kind;
+    route.group =
+        GroupName{"group-" + std::to_string(index / 3 % this->options.groups)};
+    route.maximum_staleness = std::chrono::milliseconds(1500);
+    this->callers.push_back(std::make_unique<EmulatedCaller>(
+        this->scheduler, this->promise_checker,
+        [this] { return this->RandomNode(); }, "c" + std::to_string(index),
+        route.group.value + "/" + std::to_string(static_cast<int>(kind)), route,
+        this->options.seed * 977 + index));
+    this->callers.back()->Start();
+  }
+}
+
+EmulatedNode* EmulatedWorld::RandomNode() {
+  return this->nodes[this->random.Below(this->nodes.size())].get();
+}
+
+EmulatedTarget& EmulatedWorld::RandomTarget() {
+  EmulatedGroup& chosen = this->group(this->random.Below(this->groups.size()));
+  return *chosen.targets()[this->random.Below(chosen.targets().size())];
+}
+
+GroupName EmulatedWorld::GroupOf(const TargetName& target) {
+  return GroupName{target.value.substr(0, target.value.rfind('-'))};
+}
+
+void EmulatedWorld::KillNode(size_t index, Duration down) {
+  EmulatedNode& node = *this->nodes[index];
+  if (!node.gateway())
+    return;
+  for (const auto& caller : this->callers)
+    caller->DidLoseNode(&node);
+  node.Kill();
+  this->scheduler.PostAfter(down, [this, index] {
+    if (!this->nodes[index]->gateway())
+      this->nodes[index]->Start(this->random.Below(1U << 30U));
+  });
+}
+
+void EmulatedWorld::FreezeNode(size_t index, Duration duration) {
+  this->nodes[index]->Freeze(duration);
+}
+
+void EmulatedWorld::FailStore(size_t index,
+                              EmulatedStoreAccess::Fault fault,
+                              Duration duration) {
+  this->nodes[index]->SetStoreFault(fault);
+  this->scheduler.PostAfter(duration, [this, index] {
+    this->nodes[index]->SetStoreFault(EmulatedStoreAccess::Fault::kNone);
+  });
+}
+
+void EmulatedWorld::CutNodeFromTarget(size_t node, const TargetName& target) {
+  this->cuts.Cut(this->nodes[node]->address(), target.value);
+}
+
+void EmulatedWorld::CutNodes(size_t one, size_t other) {
+  this->cuts.Cut(this->nodes[one]->address(), this->nodes[other]->address());
+}
+
+void EmulatedWorld::CrashTarget(const TargetName& name, Duration down) {
+  EmulatedTarget& target = *this->groups.at(this->GroupOf(name))->Find(name);
+  if (!target.is_running())
+    return;
+  target.Crash();
+  ++this->starts[name];
+  this->scheduler.PostAfter(kEntryLife, [this, &target, name] {
+    if (!target.is_running())
+      this->emulated_store.Remove(kTargetsTable, name.value);
+  });
+  this->scheduler.PostAfter(down, [&target] { target.Start(); });
+}
+
+void EmulatedWorld::ReleaseTarget(const TargetName& name) {
+  this->is_leaving[name] = true;
+  this->scheduler.PostAfter(kLeavingTime, [this, name] {
+    this->CrashTarget(name, kStartTime);
+    this->is_leaving[name] = false;
+  });
+}
+
+void EmulatedWorld::ChangeConfiguration() {
+  this->PublishConfiguration();
+}
+
+void EmulatedWorld::HealAll() {
+  this->cuts.HealAll();
+  for (const auto& [name, group] : this->groups) {
+    group->SetLag(std::chrono::milliseconds(20));
+    group->SetCutFromReplicas(false);
+  }
+  for (const auto& node : this->nodes)
+    node->SetStoreFault(EmulatedStoreAccess::Fault::kNone);
+}
+
+void EmulatedWorld::InjectFault() {
+  const size_t node = this->random.Below(this->nodes.size());
+  const Duration lasts =
+      std::chrono::milliseconds(500 + this->random.Below(7000));
+  EmulatedGroup& chosen = this->group(this->random.Below(this->groups.size()));
+  switch (this->random.Below(kFaultKinds)) {
+    case 0:
+      return this->KillNode(node, lasts / 2);
+    case 1:
+      return this->FreezeNode(node, lasts);
+    case 2: {
+      const auto fault =
+          static_cast<EmulatedStoreAccess::Fault>(1 + this->random.Below(4));
+      return this->FailStore(node, fault, lasts);
+    }
+    case 3:
+      for (size_t index = 0; index < this->nodes.size(); ++index)
+        this->FailStore(index, EmulatedStoreAccess::Fault::kSilent, lasts);
+      return;
+    case 4:
+      this->CutNodeFromTarget(node, chosen.leader().name());
+      break;
+    case 5:
+      for (size_t index = 0; index < this->nodes.size(); index += 2)
+        this->CutNodeFromTarget(index, chosen.leader().name());
+      break;
+    case 6:
+      this->CutNodes(node, this->random.Below(this->nodes.size()));
+      break;
+    case 7:
+      return this->CrashTarget(chosen.leader().name(), lasts);
+    case 8:
+      return this->ReleaseTarget(chosen.leader().name());
+    case 9:
+      chosen.SetLag(lasts / 3);
+      break;
+    case 10:
+      chosen.SetCutFromReplicas(true);
+      break;
+    default:
+      return;
+  }
+  this->scheduler.PostAfter(lasts, [this] {
+    this->cuts.HealAll();
+    for (const auto& [name, group] : this->groups) {
+      group->SetLag(std::chrono::milliseconds(20));
+      group->SetCutFromReplicas(false);
+    }
+  });
+}
+
+EmulatedCaller::Counts EmulatedWorld::TotalCounts() const {
+  EmulatedCaller::Counts total;
+  for (const auto& caller : this->callers) {
+    total.sent += caller->counts().sent;
+    total.succeeded += caller->counts().succeeded;
+    total.refused += caller->counts().refused;
+    total.in_doubt += caller->counts().in_doubt;
+    total.writes_succeeded += caller->counts().writes_succeeded;
+  }
+  return total;
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_world.h
@@ -0,0 +1,92 @@
+#ifndef LIBEMULATOR_EMULATED_WORLD_H_
+#define LIBEMULATOR_EMULATED_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibCore/random_source.h"
+#include "LibCore/virtual_scheduler.h"
+#include "LibDirectory/directory_codec.h"
+#include "LibEmulator/emulated_caller.h"
+#include "LibEmulator/emulated_group.h"
+#include "LibEmulator/emulated_node.h"
+#include "LibEmulator/emulated_store.h"
+#include "LibEmulator/promise_checker.h"
+
+namespace kingcupmill {
+
+// Proxies, targets, the store and callers on virtual time, with faults.
+class EmulatedWorld {
+ public:
+  struct Options {
+    uint64_t seed = 1;
+    size_t nodes = 5;
+    size_t groups = 1;
+    size_t callers = 12;
+  };
+
+  explicit EmulatedWorld(Options options);
+  ~EmulatedWorld();
+
+  // Starts proxies, and callers once all can serve.
+  void Start();
+  void RunFor(Duration duration) { this->scheduler.RunFor(duration); }
+
+  // One fault at random, which ends by itself.
+  void InjectFault();
+  // Ends every fault.
+  void HealAll();
+
+  void KillNode(size_t index, Duration down);
+  void FreezeNode(size_t index, Duration duration);
+  void FailStore(size_t index,
+                 EmulatedStoreAccess::Fault fault,
+                 Duration duration);
+  void CutNodeFromTarget(size_t node, const TargetName& target);
+  void CutNodes(size_t one, size_t other);
+  void CrashTarget(const TargetName& target, Duration down);
+  // The target says that it is leaving and ends later; a new start follows.
+  void ReleaseTarget(const TargetName& target);
+  void ChangeConfiguration();
+
+  EmulatedGroup& group(size_t index);
+  EmulatedNode& node(size_t index) { return *this->nodes[index]; }
+  PromiseChecker& checker() { return this->promise_checker; }
+  EmulatedStore& store() { return this->emulated_store; }
+  EmulatedCaller::Counts TotalCounts() const;
+  // How many kinds of faults InjectFault() chooses from.
+  static constexpr uint64_t kFaultKinds = 11;
+
+ private:
+  class Codec;
+
+  void PublishTarget(const EmulatedTarget& target,
+                     const GroupName& group,
+                     bool is_leaving);
+  void PublishRoles();
+  void PublishConfiguration();
+  EmulatedNode* RandomNode();
+  EmulatedTarget& RandomTarget();
+  GroupName GroupOf(const TargetName& target);
+
+  Options options;
+  VirtualScheduler scheduler;
+  SeededRandom random;
+  PromiseChecker promise_checker;
+  EmulatedStore emulated_store;
+  EmulatedCuts cuts;
+  std::unique_ptr<Codec> codec;
+  std::map<GroupName, std::unique_ptr<EmulatedGroup>> groups;
+  std::vector<std::unique_ptr<EmulatedNode>> nodes;
+  std::vector<std::unique_ptr<EmulatedCaller>> callers;
+  std::map<TargetName, int64_t> starts;
+  std::map<TargetName, bool> is_leaving;
+  uint64_t revision = 0;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBEMULATOR_EMULATED_WORLD_H_
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -0,0 +1,127 @@
+#include "LibEmulator/emulated_world.h"
+
+#include <doctest/doctest.h>
+
+namespace kingcupmill {
+
+namespace {
+
+std::string FirstViolation(EmulatedWorld& world) {
+  const auto& violations = world.checker().violations();
+  return violations.empty() ? "" : violations.front();
+}
+
+EmulatedWorld::Options OptionsFor(uint64_t seed) {
+  EmulatedWorld::Options options;
+  options.seed = seed;
+  options.groups = 2;
+  return options;
+}
+
+}  // namespace
+
+TEST_CASE("proxies before targets on virtual time") {
+  EmulatedWorld world(OptionsFor(7));
+  world.Start();
+
+  SUBCASE("serve every statement on a calm day") {
+    world.RunFor(std::chrono::seconds(20));
+    const auto counts = world.TotalCounts();
+    CHECK(counts.sent > 2000);
+    CHECK(counts.writes_succeeded > 200);
+    CHECK(counts.refused * 50 < counts.sent);
+    CHECK(FirstViolation(world) == "");
+
+    SUBCASE("within the connections that a target takes") {
+      for (const auto& target : world.group(0).targets())
+        CHECK(target->most_sessions() <= EmulatedTarget::kMaximumSessions);
+    }
+  }
+
+  SUBCASE("replace a primary that crashes") {
+    world.RunFor(std::chrono::seconds(2));
+    const TargetName lost = world.group(0).leader().name();
+    world.CrashTarget(lost, std::chrono::seconds(30));
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.group(0).leader().name() != lost);
+
+    SUBCASE("and acknowledge writes at the new one") {
+      const auto before = world.TotalCounts().writes_succeeded;
+      world.RunFor(std::chrono::seconds(3));
+      CHECK(world.TotalCounts().writes_succeeded > before + 20);
+      CHECK(FirstViolation(world) == "");
+    }
+  }
+
+  SUBCASE("hand over from a primary that leaves, and lose no commit") {
+    world.RunFor(std::chrono::seconds(2));
+    const TargetName leaving = world.group(0).leader().name();
+    world.ReleaseTarget(leaving);
+    world.RunFor(std::chrono::seconds(5));
+    CHECK(world.group(0).leader().name() != leaving);
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE("do not replace a primary for one proxy that is cut off from it") {
+    world.RunFor(std::chrono::seconds(2));
+    world.CutNodeFromTarget(1, world.group(0).leader().name());
+    world.RunFor(std::chrono::seconds(8));
+    CHECK(world.group(0).promotions() == 0);
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE("go on through an outage of the store") {
+    world.RunFor(std::chrono::seconds(2));
+    for (size_t index = 0; index < 5; ++index)
+      world.FailStore(index, EmulatedStoreAccess::Fault::kSilent,
+                      std::chrono::seconds(4));
+    const auto before = world.TotalCounts();
+    world.RunFor(std::chrono::seconds(4));
+    const auto after = world.TotalCounts();
+    CHECK(after.writes_succeeded > before.writes_succeeded + 40);
+    CHECK(after.refused - before.refused < 20);
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE(
+      "let the successor of a proxy that ordered a promotion go on with "
+      "the same target") {
+    world.RunFor(std::chrono::seconds(2));
+    const TargetName lost = world.group(0).leader().name();
+    world.CrashTarget(lost, std::chrono::seconds(30));
+    // All processes end while the order takes effect.
+    world.RunFor(std::chrono::milliseconds(950));
+    for (size_t index = 0; index < 5; ++index)
+      world.KillNode(index, std::chrono::seconds(1));
+    world.RunFor(std::chrono::seconds(12));
+    CHECK(world.group(0).leader().name() != lost);
+    CHECK(FirstViolation(world) == "");
+    const auto before = world.TotalCounts().writes_succeeded;
+    world.RunFor(std::chrono::seconds(2));
+    CHECK(world.TotalCounts().writes_succeeded > before + 10);
+  }
+}
+
+TEST_CASE("no promise is broken under random faults") {
+  for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    CAPTURE(seed);
+    EmulatedWorld world(OptionsFor(seed));
+    world.Start();
+    for (int round = 0; round < 12; ++round) {
+      world.InjectFault();
+      world.RunFor(std::chrono::milliseconds(1500));
+    }
+    CHECK(FirstViolation(world) == "");
+
+    // What is healed is served again.
+    world.HealAll();
+    world.RunFor(std::chrono::seconds(14));
+    const auto before = world.TotalCounts();
+    world.RunFor(std::chrono::seconds(3));
+    const auto after = world.TotalCounts();
+    CHECK(after.writes_succeeded > before.writes_succeeded + 30);
+    CHECK(FirstViolation(world) == "");
+  }
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibEmulator/promise_checker.cc
@@ -0,0 +1,159 @@
+#include "LibEmulator/promise_checker.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupmill {
+
+namespace {
+
+bool Contains(const std::vector<CommitEntry>& log, const CommitEntry& entry) {
+  const uint64_t number = entry.point.position.value;
+  return number >= 1 && number <= log.size() && log[number - 1] == entry;
+}
+
+}  // namespace
+
+void PromiseChecker::Break(const std::string& rule, const std::string& text) {
+  this->broken.push_back(
+      fmt::format("{} at {} ms: {}", rule,
+                  ToMilliseconds(this->now().time_since_epoch()), text));
+}
+
+void PromiseChecker::DidSend(const std::string& request_id, Sent sent) {
+  this->sent_by_request.insert_or_assign(request_id, std::move(sent));
+}
+
+std::string PromiseChecker::DidRun(const Run& run) {
+  ++this->run_count;
+  const auto found = this->sent_by_request.find(run.request_id);
+  if (found == this->sent_by_request.end()) {
+    this->Break("UNASKED", run.request_id + " was never sent");
+    return "none";
+  }
+  const Sent& sent = found->second;
+  if (run.is_in_transaction != sent.is_in_transaction)
+    this->Break("PINNED", run.request_id + " ran on the wrong side of a BEGIN");
+  if (run.is_in_transaction && !run.transaction_attempt.empty() &&
+      run.transaction_attempt != sent.attempt)
+    this->Break("PINNED", run.request_id + " ran inside the transaction " +
+                              run.transaction_attempt);
+  if (*run.values != sent.values)
+    this->Break("PINNED", run.request_id + " ran with other session values");
+  this->CheckFreshness(sent, run);
+  const std::string receipt = fmt::format("{}@{}#{}", run.request_id,
+                                          run.target.value, this->run_count);
+  this->receipt_by_request.insert_or_assign(run.request_id, receipt);
+  return receipt;
+}
+
+void PromiseChecker::CheckFreshness(const Sent& sent, const Run& run) {
+  const TimePoint bound = sent.kind == RouteKind::kPrimary
+                              ? sent.sent_at
+                              : sent.sent_at - sent.maximum_staleness;
+  const auto& acknowledged = this->acknowledged_by_group[sent.group];
+  for (auto attempt = acknowledged.rbegin(); attempt != acknowledged.rend();
+       ++attempt) {
+    const Committed& commit = this->commit_by_attempt.at(*attempt);
+    if (commit.is_discarded || *commit.acknowledged_at >= bound)
+      continue;
+    if (!Contains(*run.log, commit.entry))
+      this->Break(
+          "STALE",
+          fmt::format("{} at {} lacks {} ({}.{}) acknowledged {} ms "
+                      "before it was sent",
+                      run.request_id, run.target.value, *attempt,
+                      commit.entry.point.term.value,
+                      commit.entry.point.position.value,
+                      ToMilliseconds(sent.sent_at - *commit.acknowledged_at)));
+    break;
+  }
+  if (!sent.own_commit)
+    return;
+  const auto own = this->commit_by_attempt.find(sent.own_commit->attempt);
+  const bool is_kept =
+      own != this->commit_by_attempt.end() && !own->second.is_discarded;
+  if (is_kept && sent.kind == RouteKind::kReadYourWrites &&
+      !Contains(*run.log, own->second.entry))
+    this->Break("STALE", fmt::format("{} at {} lacks the session's own {}",
+                                     run.request_id, run.target.value,
+                                     sent.own_commit->attempt));
+}
+
+void PromiseChecker::DidCommit(const GroupName& group,
+                               const TargetName& target,
+                               const CommitEntry& entry) {
+  const auto known = this->commit_by_attempt.find(entry.attempt);
+  if (known != this->commit_by_attempt.end()) {
+    if (!known->second.is_discarded)
+      this->Break("TWICE", entry.attempt + " was committed twice");
+    ++known->second.times;
+    return;
+  }
+  Committed commit;
+  commit.entry = entry;
+  commit.group = group;
+  commit.target = target;
+  commit.at = this->now();
+  if (this->promised.contains(entry.attempt))
+    this->Break("REFUSED", entry.attempt + " was committed after a promise");
+  this->commit_by_attempt.emplace(entry.attempt, std::move(commit));
+}
+
+void PromiseChecker::DidPromote(const GroupName& group,
+                                const TargetName& target,
+                                const std::vector<CommitEntry>& log) {
+  this->leaders[group] = Leader{target, this->now()};
+  for (auto& [attempt, commit] : this->commit_by_attempt) {
+    if (commit.group == group && !Contains(log, commit.entry))
+      commit.is_discarded = true;
+  }
+}
+
+void PromiseChecker::DidAnswer(const std::string& request_id,
+                               const StatementAnswer& answer) {
+  if (answer.error)
+    return;
+  const auto receipt = this->receipt_by_request.find(request_id);
+  const bool is_own = receipt != this->receipt_by_request.end() &&
+                      receipt->second == answer.receipt;
+  if (!is_own)
+    this->Break("MIXED", request_id + " was answered with the receipt " +
+                             answer.receipt);
+}
+
+void PromiseChecker::DidAcknowledge(const std::string& attempt) {
+  const auto found = this->commit_by_attempt.find(attempt);
+  if (found == this->commit_by_attempt.end())
+    return;
+  Committed& commit = found->second;
+  ++this->acknowledged_count;
+  commit.acknowledged_at = this->now();
+  this->acknowledged_by_group[commit.group].push_back(attempt);
+  const auto leader = this->leaders.find(commit.group);
+  if (leader != this->leaders.end() && leader->second.since < commit.at &&
+      leader->second.target != commit.target)
+    this->Break("ONE", fmt::format("{} was committed at {} and acknowledged, "
+                                   "though {} had taken over",
+                                   attempt, commit.target.value,
+                                   leader->second.target.value));
+}
+
+void PromiseChecker::DidPromiseNothingKept(const std::string& attempt) {
+  this->promised.insert(attempt);
+  const auto commit = this->commit_by_attempt.find(attempt);
+  if (commit != this->commit_by_attempt.end() && !commit->second.is_discarded)
+    this->Break("REFUSED", attempt + " had been committed");
+}
+
+std::optional<CommitEntry> PromiseChecker::CommitOf(
+    const std::string& attempt) const {
+  const auto found = this->commit_by_attempt.find(attempt);
+  if (found == this->commit_by_attempt.end())
+    return std::nullopt;
+  return found->second.entry;
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibLink/link_pool.cc
+++ b/Libraries/LibLink/link_pool.cc
@@ -32,6 +32,12 @@
       events(std::move(events)) {}
 
 LinkPool::~LinkPool() {
+  this->CloseAll();
+}
+
+void LinkPool::CloseAll() {
+  this->is_retired = true;
+  this->free.clear();
   for (const auto& link : std::exchange(this->links, {}))
     link->Close();
 }
--- a/Libraries/LibLink/link_pool.h
+++ b/Libraries/LibLink/link_pool.h
@@ -55,6 +55,9 @@
   // given back.
   void Retire();
 
+  // Closes every link.
+  void CloseAll();
+
   const TargetEndpoint& endpoint() const { return this->target_endpoint; }
   bool has_free() const { return !this->free.empty(); }
   size_t open_count() const;
