LibCoordination: Retry the duty's write, accept a primary that came back renamed

Ruled out: the promotion service (it answered within 15 ms each time).

Also: a read without an answer is sent once more after 120 ms (lost answers), and leases last 7.5 s so that a zone that is cut off for 6 s keeps its primary.

--- a/Libraries/LibCoordination/duty_lease.cc
+++ b/Libraries/LibCoordination/duty_lease.cc
@@ -14,8 +14,8 @@
 constexpr Duration kDutyLease = std::chrono::milliseconds(2500);
 // For an order that a link holds up after its sender has given up.
 constexpr Duration kSuccessorSlack = std::chrono::milliseconds(1500);
-// A write whose answer was lost may be applied this much later.
-constexpr Duration kPendingLimit = std::chrono::seconds(7);
+// Between two writes, while the store refuses them.
+constexpr Duration kWriteInterval = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -36,14 +36,16 @@
 
 bool DutyLease::is_taken_by_other() const {
   const DutyRecord& duty = this->view.duty();
-  if (!duty.is_held || duty.nonce.starts_with(this->incarnation))
+  // An earlier process of this VM has ended, and its connections with it.
+  if (!duty.is_held || duty.holder == this->self)
     return false;
   return this->scheduler.Now() <
          this->view.duty_seen_at() + kDutyLease + kSuccessorSlack;
 }
 
 void DutyLease::Take() {
-  if (this->pending_nonce || this->is_taken_by_other())
+  if (this->pending_nonce || this->is_taken_by_other() ||
+      this->scheduler.Now() - this->pending_sent_at < kWriteInterval)
     return;
   this->Write(true);
 }
@@ -82,12 +84,13 @@
                           ValueOrError<ChangeOutcome> outcome) {
         if (this->pending_nonce != nonce)
           return;
+        this->pending_nonce.reset();
         const auto* applied = std::get_if<ChangeOutcome>(&outcome);
-        // Without an answer the write may be applied at any later moment; the
-        // row will show it.
+        // Without an answer the write may be applied at any later moment, but
+        // not after the next one, which has the same condition. If it is, the
+        // row names this proxy, and the next reign starts from there.
         if (!applied)
           return;
-        this->pending_nonce.reset();
         if (!applied->is_applied)
           return;
         this->known_version = std::max(this->known_version, applied->version);
@@ -98,22 +101,4 @@
       }));
 }
 
-void DutyLease::DidChangeView() {
-  if (!this->pending_nonce)
-    return;
-  const DutyRecord& duty = this->view.duty();
-  if (duty.nonce == *this->pending_nonce && duty.is_held) {
-    this->pending_nonce.reset();
-    this->held_epoch = this->pending_epoch;
-    this->held_until = this->pending_sent_at + kDutyLease;
-    return;
-  }
-  const bool is_overtaken = duty.version > this->known_version &&
-                            duty.nonce != *this->pending_nonce &&
-                            duty.epoch >= this->pending_epoch;
-  if (is_overtaken ||
-      this->scheduler.Now() > this->pending_sent_at + kPendingLimit)
-    this->pending_nonce.reset();
-}
-
 }  // namespace kingcupmill
--- a/Libraries/LibCoordination/duty_lease.h
+++ b/Libraries/LibCoordination/duty_lease.h
@@ -42,9 +42,6 @@
 
   uint64_t epoch() const { return this->held_epoch; }
 
-  // The view has changed: a write whose answer was lost may show there.
-  void DidChangeView();
-
  private:
   void Write(bool is_held);
 
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -308,6 +308,23 @@
                              });
 }
 
+void FailoverAgent::ForgetGone() {
+  const TimePoint now = this->context.scheduler.Now();
+  for (const auto& [address, member] : this->context.view.members()) {
+    const auto gone_at = this->context.view.gone_seen_at(address);
+    if (!gone_at || now < *gone_at + 2 * this->context.lease_wait)
+      continue;
+    const std::string key = CoordinationView::MemberKey(address);
+    TableChange change;
+    change.expected.push_back({key, member.version});
+    change.removals.push_back(key);
+    this->context.store.Change(CoordinationView::kTable, std::move(change),
+                               [](const ValueOrError<ChangeOutcome>&) {
+                                 // Tried again while the row is there.
+                               });
+  }
+}
+
 void FailoverAgent::DidHear(const std::string& address) {
   this->heard_at[address] = this->context.scheduler.Now();
 }
@@ -355,6 +372,8 @@
   if (now - this->pinged_at < kPingInterval)
     return;
   this->pinged_at = now;
+  if (this->Rank() == 0 && this->hears_most())
+    this->ForgetGone();
   std::vector<std::string> others;
   for (const auto& [address, member] : this->context.view.members()) {
     if (address == this->context.self_address || member.is_gone)
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -52,9 +52,6 @@
   // Goes on where something has changed. Called at short intervals.
   void Tick();
 
-  // The table that all proxies share was read.
-  void DidChangeView() { this->duty.DidChangeView(); }
-
   // A peer has answered or asked.
   void DidHear(const std::string& address);
 
@@ -90,6 +87,8 @@
                      Trigger trigger);
   void FinishHandovers();
   void MarkGone(const std::string& address);
+  // Removes members that have been gone for so long that nobody waits for them.
+  void ForgetGone();
   void PingMembers();
   // Whether most members were heard lately: who hears few is itself cut off.
   bool hears_most() const;
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -100,9 +100,9 @@
   const bool is_reopened = newest && newest->version > this->from.version &&
                            newest->state == PrimaryState::kServing &&
                            this->step > Step::kClose;
-  const bool is_settled =
+  const bool is_over =
       newest && (newest->term > this->from.term || is_reopened);
-  if (is_settled && this->step != Step::kDone)
+  if (is_over && this->step != Step::kDone)
     return this->Enter(Step::kDone);
   if (this->step == Step::kDone)
     return;
@@ -296,8 +296,13 @@
   // Only the target that the store names may lead, and with a rival it leads
   // for sure only once its own promotion has had its time.
   const bool is_settled = !this->has_rival || this->InStep() >= kPromotionLimit;
+  // A primary that was lost may come back under another name, in its old term.
+  const bool leads =
+      report.is_primary &&
+      (report.term > this->from.term ||
+       (report.term == this->from.term && target != this->from.primary));
   if (this->step == Step::kVerify && target == this->chosen && is_settled &&
-      report.is_primary && report.term > this->from.term)
+      leads)
     return this->Leads(target, report.term);
   if (this->step == Step::kChoose)
     this->Tick();
@@ -340,7 +345,10 @@
       has_all = false;
       continue;
     }
-    if (!best || report->second.received > this->reports.at(*best).received)
+    const auto merit = [](const TargetReport& value) {
+      return std::pair(value.received, value.is_primary);
+    };
+    if (!best || merit(report->second) > merit(this->reports.at(*best)))
       best = &report->first;
   }
   if (!best) {
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -39,6 +39,9 @@
 // A leaving primary takes new work for this long at most; by then another one
 // leads, or the group has none.
 constexpr Duration kLeavingPrimaryUse = std::chrono::seconds(4);
+// A read without an answer for this long is sent once more; nine in ten take a
+// third of it.
+constexpr Duration kHedgeAfter = std::chrono::milliseconds(120);
 // When a caller should come back after a refusal: to a busy target, and to a
 // group whose primary is being replaced.
 constexpr Duration kComeBackWhenBusy = std::chrono::milliseconds(50);
@@ -52,11 +55,14 @@
   DidFinishWork did_finish;
   QueueKey key;
   bool is_queued = false;
-  bool was_offered = false;
+  bool is_finished = false;
+  // Attempts that were sent and are not over.
+  int running = 0;
   int attempts = 0;
   // Targets that could not serve it.
   std::set<TargetName> avoided;
   Scheduler::TimerId timer = 0;
+  Scheduler::TimerId hedge_timer = 0;
   const char* waits_for = "a target";
 };
 
@@ -160,6 +166,7 @@
   work->did_finish = [](WorkOutcome) {};
   if (!work->is_queued)
     return;
+  work->is_queued = false;
   this->queue.erase(work->key);
   this->scheduler.Cancel(work->timer);
   this->work_by_number.erase(found);
@@ -179,13 +186,33 @@
       wait, this->life.Wrap([this, work] { this->DidWaitTooLong(work); }));
 }
 
+void GroupDispatcher::DidHangOn(const WorkPointer& work,
+                                const TargetName& target) {
+  if (work->is_finished || work->is_queued ||
+      work->attempts + 1 >= kMaximumAttempts)
+    return;
+  this->journal.Write(EventJournal::Kind::kRouted,
+                      "event=second_attempt request={} group={} silent={}",
+                      work->request.command.request_id, this->group.value,
+                      target.value);
+  if (!work->request.needs_primary)
+    work->avoided.insert(target);
+  this->Requeue(work);
+}
+
 void GroupDispatcher::Requeue(const WorkPointer& work) {
+  if (work->is_finished || work->is_queued)
+    return;
   const TimePoint now = this->scheduler.Now();
   const bool is_over =
       ++work->attempts >= kMaximumAttempts ||
       now >= work->request.received_at + work->request.route.statement_timeout;
-  if (is_over)
-    return this->Refuse(work, StatementErrorCode::kBusy, "no target took it");
+  if (is_over) {
+    // An earlier attempt may still be answered.
+    if (work->running == 0)
+      this->Refuse(work, StatementErrorCode::kBusy, "no target took it");
+    return;
+  }
   this->Enqueue(work);
   this->scheduler.PostAfter(kRetryPause,
                             this->life.Wrap([this] { this->Dispatch(); }));
@@ -196,7 +223,8 @@
     return;
   this->queue.erase(work->key);
   work->is_queued = false;
-  this->Refuse(work, StatementErrorCode::kBusy, work->waits_for);
+  if (work->running == 0)
+    this->Refuse(work, StatementErrorCode::kBusy, work->waits_for);
 }
 
 void GroupDispatcher::Dispatch() {
@@ -220,7 +248,7 @@
           work->request.received_at +
           duration_cast<Duration>(work->request.route.response_goal *
                                   kHoldShareWithoutTarget);
-      if (this->scheduler.Now() < held_until)
+      if (this->scheduler.Now() < held_until || work->running > 0)
         continue;
       this->queue.erase(work->key);
       work->is_queued = false;
@@ -402,7 +430,17 @@
     this->Release(choice.target, link);
     return this->Refuse(work, StatementErrorCode::kBusy, "time");
   }
-  work->was_offered = true;
+  ++work->running;
+  const bool is_repeatable = !request.is_write && !request.opens_transaction;
+  if (is_repeatable) {
+    const Duration patience =
+        std::max<Duration>(kHedgeAfter, 3 * choice.target->ExpectedTime(now));
+    work->hedge_timer = this->scheduler.PostAfter(
+        patience,
+        this->life.Wrap([this, work, name = choice.target->entry.name] {
+          this->DidHangOn(work, name);
+        }));
+  }
   TargetCommand command = request.command;
   command.required_position = choice.required_position;
   ++choice.target->in_flight;
@@ -424,6 +462,7 @@
                        sent_at = now](std::optional<StatementAnswer> answer) {
         --choice.target->in_flight;
         this->at_primary.erase(work->number);
+        --work->running;
         this->DidReceive(work, choice, link, sent_at, std::move(answer));
       }));
 }
@@ -435,8 +474,16 @@
                                  std::optional<StatementAnswer> answer) {
   const TimePoint now = this->scheduler.Now();
   const WorkRequest& request = work->request;
+  if (work->is_finished) {
+    // Another attempt was answered first.
+    if (answer)
+      this->DidReceiveFrom(*choice.target, *answer, sent_at);
+    return this->Release(choice.target, link);
+  }
   if (!answer) {
     this->Release(choice.target, link);
+    if (work->running > 0 || work->is_queued)
+      return;
     if (request.is_write) {
       WorkOutcome outcome;
       outcome.answer.error = StatementError{StatementErrorCode::kInDoubt,
@@ -543,6 +590,14 @@
 }
 
 void GroupDispatcher::Finish(const WorkPointer& work, WorkOutcome outcome) {
+  if (work->is_finished)
+    return;
+  work->is_finished = true;
+  this->scheduler.Cancel(work->hedge_timer);
+  if (std::exchange(work->is_queued, false)) {
+    this->queue.erase(work->key);
+    this->scheduler.Cancel(work->timer);
+  }
   this->work_by_number.erase(work->number);
   const DidFinishWork did_finish = std::move(work->did_finish);
   did_finish(std::move(outcome));
@@ -621,9 +676,11 @@
 
 void GroupDispatcher::DidChangeLeases() {
   const PrimaryRecord* record = this->leases.Find(this->group);
-  if (record && record->term != this->primary_term) {
+  if (record && record->version != this->primary_version) {
+    // What was seen of the primary before it was marked or replaced says
+    // nothing of it now.
     this->primary_name = record->primary;
-    this->primary_term = record->term;
+    this->primary_version = record->version;
     this->did_primary_deny = false;
     this->primary_answered_at = TimePoint{};
     this->unanswered_since.reset();
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -136,6 +136,7 @@
   void DidReceiveError(const WorkPointer& work,
                        const Choice& choice,
                        StatementAnswer answer);
+  void DidHangOn(const WorkPointer& work, const TargetName& target);
   void Requeue(const WorkPointer& work);
   void Enqueue(const WorkPointer& work);
   void DidWaitTooLong(const WorkPointer& work);
@@ -178,7 +179,7 @@
   // When the oldest question to the primary was sent that has no answer.
   std::optional<TimePoint> unanswered_since;
   TargetName primary_name;
-  Term primary_term;
+  uint64_t primary_version = 0;
   TimePoint probed_at{};
   bool did_primary_deny = false;
   LifeGuard life;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -17,7 +17,7 @@
 // How long a read of the store gives the right to use a primary. Longer leases
 // bridge outages of the store; shorter ones end the wait for a proxy that does
 // not answer.
-constexpr Duration kLeaseLength = std::chrono::seconds(6);
+constexpr Duration kLeaseLength = std::chrono::milliseconds(7500);
 // Added to the wait for leases to run out, for timers that fire late.
 constexpr Duration kLeaseSlack = std::chrono::milliseconds(300);
 // Long polls renew leases, so they are a fraction of a lease.
@@ -224,7 +224,6 @@
   this->view.Update(this->coordination.rows(), now);
   this->leases.DidRead(this->view.primaries(), this->coordination.read_at(),
                        this->registration.is_registered(), now);
-  this->failover.DidChangeView();
   this->registration.Tick();
   this->UpdateDispatchers();
   for (auto& [group, dispatcher] : this->dispatchers)
