LibDispatch: Close connections that lost an answer; refuse what needs a silent primary

Ruled out: the targets' slots (statements sent later were answered). Change: a read whose target has answered what was sent 150 ms later is over. Statements that need a primary which has been silent for 600 ms are refused at once.

--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -42,6 +42,12 @@
 // A read without an answer for this long is sent once more; nine in ten take a
 // third of it.
 constexpr Duration kHedgeAfter = std::chrono::milliseconds(120);
+// A read whose target has answered what was sent this much later has lost its
+// answer; its connection is closed, because nothing further comes on it.
+constexpr Duration kLostAnswerAfter = std::chrono::milliseconds(300);
+constexpr Duration kOvertakenBy = std::chrono::milliseconds(150);
+// A primary that has been silent for longer is not waited for.
+constexpr Duration kSilentPrimary = std::chrono::milliseconds(600);
 // When a caller should come back after a refusal: to a busy target, and to a
 // group whose primary is being replaced.
 constexpr Duration kComeBackWhenBusy = std::chrono::milliseconds(50);
@@ -244,11 +250,14 @@
         continue;
       if (this->TryStart(work) != StartResult::kNoTarget)
         continue;
+      const bool is_hopeless = work->request.needs_primary &&
+                               this->PrimarySilence() >= kSilentPrimary;
       const TimePoint held_until =
           work->request.received_at +
           duration_cast<Duration>(work->request.route.response_goal *
                                   kHoldShareWithoutTarget);
-      if (this->scheduler.Now() < held_until || work->running > 0)
+      const bool is_held = !is_hopeless && this->scheduler.Now() < held_until;
+      if (is_held || work->running > 0)
         continue;
       this->queue.erase(work->key);
       work->is_queued = false;
@@ -296,7 +305,8 @@
   if (view.leaving_since && now - *view.leaving_since > kLeavingPrimaryUse)
     return std::nullopt;
   work.waits_for = "a connection to the primary";
-  may_come = true;
+  may_come =
+      view.pool->open_count() > 0 || this->PrimarySilence() < kSilentPrimary;
   if (now < view.shed_until)
     return std::nullopt;
   if (!view.pool->has_free()) {
@@ -446,6 +456,9 @@
   ++choice.target->in_flight;
   if (choice.lease)
     this->at_primary.emplace(work->number, AtPrimary{link, *choice.lease});
+  const uint64_t sending = this->next_sending++;
+  if (!request.is_write)
+    this->sent_reads.emplace(sending, SentRead{choice.target, link});
   this->journal.Write(
       EventJournal::Kind::kRouted,
       "event=routed request={} group={} target={} primary={} after={}.{} "
@@ -458,8 +471,9 @@
       work->attempts, choice.target->in_flight);
   link->SendFor(
       *request.record, std::move(command), timeout,
-      this->life.Wrap([this, work, choice, link,
+      this->life.Wrap([this, work, choice, link, sending,
                        sent_at = now](std::optional<StatementAnswer> answer) {
+        this->sent_reads.erase(sending);
         --choice.target->in_flight;
         this->at_primary.erase(work->number);
         --work->running;
@@ -635,6 +649,8 @@
                                      TimePoint sent_at) {
   const TimePoint now = this->scheduler.Now();
   target.last_answer_at = now;
+  target.newest_answered_sent_at =
+      std::max(target.newest_answered_sent_at, sent_at);
   const PrimaryRecord* record = this->leases.Find(this->group);
   const bool is_primary = record && record->primary == target.entry.name;
   if (is_primary) {
@@ -769,8 +785,23 @@
   this->Release(view, link);
 }
 
+void GroupDispatcher::CloseLostLinks() {
+  const TimePoint now = this->scheduler.Now();
+  std::vector<std::shared_ptr<TargetLink>> lost;
+  for (const auto& [number, statement] : this->sent_reads) {
+    const auto since = statement.link->unanswered_since();
+    if (!since || now - *since < kLostAnswerAfter)
+      continue;
+    if (statement.target->newest_answered_sent_at > *since + kOvertakenBy)
+      lost.push_back(statement.link);
+  }
+  for (const auto& link : lost)
+    link->Close();
+}
+
 void GroupDispatcher::Tick() {
   const TimePoint now = this->scheduler.Now();
+  this->CloseLostLinks();
   this->Dispatch();
   this->Prune();
   // Connections are made before they are needed, off the path of statements.
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -149,6 +149,7 @@
                const std::shared_ptr<TargetLink>& link);
   void RollBack(const std::shared_ptr<TargetView>& target,
                 const std::shared_ptr<TargetLink>& link);
+  void CloseLostLinks();
   void GetMoreLinks(TargetView& target);
   bool is_usable(const TargetView& target) const;
   void Prune();
@@ -172,6 +173,13 @@
     PrimaryRecord lease;
   };
   std::map<WorkNumber, AtPrimary> at_primary;
+  // Reads outside transactions that were sent, each sending under its number.
+  struct SentRead {
+    std::shared_ptr<TargetView> target;
+    std::shared_ptr<TargetLink> link;
+  };
+  std::map<uint64_t, SentRead> sent_reads;
+  uint64_t next_sending = 1;
   WorkNumber next_number = 1;
   bool is_dispatching = false;
   bool has_more_to_dispatch = false;
--- a/Libraries/LibDispatch/target_view.h
+++ b/Libraries/LibDispatch/target_view.h
@@ -34,6 +34,8 @@
   // Statements sent and not answered.
   int in_flight = 0;
   TimePoint last_answer_at{};
+  // When the newest command that was answered had been sent.
+  TimePoint newest_answered_sent_at{};
   std::optional<LogPoint> last_point;
   TimePoint last_point_at{};
   TimePoint shed_until{};
--- a/Libraries/LibLink/target_link.cc
+++ b/Libraries/LibLink/target_link.cc
@@ -176,6 +176,7 @@
 void TargetLink::Enqueue(Duration timeout, DidAnswer did_answer) {
   Pending entry;
   entry.did_answer = std::move(did_answer);
+  entry.sent_at = this->scheduler.Now();
   entry.timer = this->scheduler.PostAfter(
       timeout, this->life.Wrap([this] { this->DidLose(LinkFailure::kLost); }));
   this->pending.push_back(std::move(entry));
--- a/Libraries/LibLink/target_link.h
+++ b/Libraries/LibLink/target_link.h
@@ -67,6 +67,12 @@
     return this->session_state != SessionState::kIdle;
   }
   TimePoint last_answer_at() const { return this->answered_at; }
+  // When the oldest command without an answer was sent.
+  std::optional<TimePoint> unanswered_since() const {
+    if (this->pending.empty())
+      return std::nullopt;
+    return this->pending.front().sent_at;
+  }
 
   // Returns the name under which `shape` is prepared at targets.
   static std::string NameOf(const PreparedShape& shape);
@@ -76,6 +82,7 @@
   struct Pending {
     DidAnswer did_answer;
     Scheduler::TimerId timer = 0;
+    TimePoint sent_at{};
   };
 
   void Enqueue(Duration timeout, DidAnswer did_answer);
