LibDispatch: Try lagging replicas again as they catch up; wait less behind busy targets

Change: a lagging replica is passed over for 40 ms, statements wait for 0.65 of their goal, the age's margin is 40 ms.

--- a/Libraries/LibCore/error.h
+++ b/Libraries/LibCore/error.h
@@ -60,11 +60,14 @@
 
 #define KINGCUPMILL_ERROR_JOIN_(a, b) a##b
 #define KINGCUPMILL_ERROR_NAME_(a, b) KINGCUPMILL_ERROR_JOIN_(a, b)
+// The macros below declare or assign what they are given, so that cannot stand
+// in parentheses. NOLINTBEGIN(bugprone-macro-parentheses)
 #define KINGCUPMILL_TRY_(result, variable, expression)       \
   auto result = (expression);                                \
   if (!result)                                               \
     return ::tl::make_unexpected(std::move(result).error()); \
   variable = std::move(result).value()
+// NOLINTEND(bugprone-macro-parentheses)
 
 // Declares `name` with the value of `expression`, or returns its error.
 #define KINGCUPMILL_TRY(name, ...)                                        \
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -16,9 +16,9 @@
 // How much of its response-time goal a statement waits while no target can take
 // it. A longer wait only delays the caller's next try at another proxy.
 constexpr double kHoldShareWithoutTarget = 0.25;
-// How much of it a statement waits while targets are busy. Later it could not
-// be answered in time.
-constexpr double kHoldShareWhileBusy = 0.9;
+// How much of it a statement waits while targets are busy. What starts later is
+// answered too late, and takes the place of what could be answered in time.
+constexpr double kHoldShareWhileBusy = 0.65;
 // A target's answer to a probe takes a round trip; this allows for a slow VM.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
 // A probe behind a running statement waits for that statement.
@@ -27,13 +27,13 @@
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 // A position must cover every commit acknowledged before the stated age; kept
 // back from the age for the way to the target.
-constexpr Duration kAgeMargin = std::chrono::milliseconds(100);
+constexpr Duration kAgeMargin = std::chrono::milliseconds(40);
 // A round trip to another zone, and the price of the bytes between zones.
 constexpr Duration kOtherPlacePenalty = std::chrono::milliseconds(6);
 // Reads that replicas may serve leave the primary to those that they may not.
 constexpr Duration kPrimaryPenalty = std::chrono::milliseconds(8);
 // A statement is offered this often before it is refused.
-constexpr int kMaximumAttempts = 6;
+constexpr int kMaximumAttempts = 10;
 // Work that was refused by one target is offered again after this pause.
 constexpr Duration kRetryPause = std::chrono::milliseconds(4);
 // A leaving primary takes new work for this long at most; by then another one
@@ -42,9 +42,11 @@
 // A read without an answer for this long is sent once more; nine in ten take a
 // third of it.
 constexpr Duration kHedgeAfter = std::chrono::milliseconds(120);
-// A read whose target has answered what was sent this much later has lost its
-// answer; its connection is closed, because nothing further comes on it.
+// A statement whose target has answered what was sent this much later has lost
+// its answer; its connection is closed, because nothing further comes on it.
+// What leaves a caller in doubt is waited for longer.
 constexpr Duration kLostAnswerAfter = std::chrono::milliseconds(300);
+constexpr Duration kLostOutcomeAfter = std::chrono::milliseconds(400);
 constexpr Duration kOvertakenBy = std::chrono::milliseconds(150);
 // A primary that has been silent for longer is not waited for.
 constexpr Duration kSilentPrimary = std::chrono::milliseconds(600);
@@ -453,12 +455,10 @@
   }
   TargetCommand command = request.command;
   command.required_position = choice.required_position;
-  ++choice.target->in_flight;
   if (choice.lease)
     this->at_primary.emplace(work->number, AtPrimary{link, *choice.lease});
-  const uint64_t sending = this->next_sending++;
-  if (!request.is_write)
-    this->sent_reads.emplace(sending, SentRead{choice.target, link});
+  const uint64_t sending =
+      this->DidSend(choice.target, link, !request.is_write);
   this->journal.Write(
       EventJournal::Kind::kRouted,
       "event=routed request={} group={} target={} primary={} after={}.{} "
@@ -473,8 +473,7 @@
       *request.record, std::move(command), timeout,
       this->life.Wrap([this, work, choice, link, sending,
                        sent_at = now](std::optional<StatementAnswer> answer) {
-        this->sent_reads.erase(sending);
-        --choice.target->in_flight;
+        this->DidEndSending(sending);
         this->at_primary.erase(work->number);
         --work->running;
         this->DidReceive(work, choice, link, sent_at, std::move(answer));
@@ -557,7 +556,7 @@
       choice.target->DidShed(this->scheduler.Now());
       return this->Requeue(work);
     case StatementErrorCode::kLagging:
-      work->avoided.insert(name);
+      // Its position is known now, so it is passed over while that holds.
       return this->Requeue(work);
     case StatementErrorCode::kNoPreparedStatement:
       // What this proxy believes of the connection is wrong.
@@ -785,12 +784,30 @@
   this->Release(view, link);
 }
 
+uint64_t GroupDispatcher::DidSend(const std::shared_ptr<TargetView>& target,
+                                  const std::shared_ptr<TargetLink>& link,
+                                  bool is_repeatable) {
+  ++target->in_flight;
+  const uint64_t sending = this->next_sending++;
+  this->sent_statements.emplace(sending,
+                                SentStatement{target, link, is_repeatable});
+  return sending;
+}
+
+void GroupDispatcher::DidEndSending(uint64_t sending) {
+  const auto ended = this->sent_statements.extract(sending);
+  if (!ended.empty())
+    --ended.mapped().target->in_flight;
+}
+
 void GroupDispatcher::CloseLostLinks() {
   const TimePoint now = this->scheduler.Now();
   std::vector<std::shared_ptr<TargetLink>> lost;
-  for (const auto& [number, statement] : this->sent_reads) {
+  for (const auto& [number, statement] : this->sent_statements) {
     const auto since = statement.link->unanswered_since();
-    if (!since || now - *since < kLostAnswerAfter)
+    const Duration patience =
+        statement.is_repeatable ? kLostAnswerAfter : kLostOutcomeAfter;
+    if (!since || now - *since < patience)
       continue;
     if (statement.target->newest_answered_sent_at > *since + kOvertakenBy)
       lost.push_back(statement.link);
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -98,6 +98,12 @@
   void DidReceiveFrom(TargetView& target,
                       const StatementAnswer& answer,
                       TimePoint sent_at);
+  // Returns the number of the sending, for DidEndSending(). A statement is
+  // repeatable when nothing is in doubt once its answer is lost.
+  uint64_t DidSend(const std::shared_ptr<TargetView>& target,
+                   const std::shared_ptr<TargetLink>& link,
+                   bool is_repeatable);
+  void DidEndSending(uint64_t sending);
   void DidOpenTransaction(OpenTransaction* transaction);
   void DidEndTransaction(OpenTransaction* transaction,
                          const std::shared_ptr<TargetView>& target,
@@ -173,12 +179,14 @@
     PrimaryRecord lease;
   };
   std::map<WorkNumber, AtPrimary> at_primary;
-  // Reads outside transactions that were sent, each sending under its number.
-  struct SentRead {
+  // Statements that were sent and not answered, by the number of the sending.
+  struct SentStatement {
     std::shared_ptr<TargetView> target;
     std::shared_ptr<TargetLink> link;
+    // Nothing is in doubt when its answer is lost.
+    bool is_repeatable = false;
   };
-  std::map<uint64_t, SentRead> sent_reads;
+  std::map<uint64_t, SentStatement> sent_statements;
   uint64_t next_sending = 1;
   WorkNumber next_number = 1;
   bool is_dispatching = false;
--- a/Libraries/LibDispatch/open_transaction.cc
+++ b/Libraries/LibDispatch/open_transaction.cc
@@ -68,16 +68,18 @@
     this->did_write = true;
   this->is_running = true;
   const TimePoint sent_at = this->dispatcher.Now();
-  ++this->target->in_flight;
+  const bool is_in_doubt_when_lost = is_commit && this->did_write;
+  const uint64_t sending = this->dispatcher.DidSend(this->target, this->link,
+                                                    !is_in_doubt_when_lost);
   this->link->SendFor(
       record, std::move(command), this->route.statement_timeout,
-      [target = this->target,
+      [dispatcher = &this->dispatcher, sending,
        did_receive = this->life.Wrap(
            [this, step, sent_at, did_answer = std::move(did_answer)](
                std::optional<StatementAnswer> answer) {
              this->DidReceive(step, sent_at, std::move(answer), did_answer);
            })](std::optional<StatementAnswer> answer) {
-        --target->in_flight;
+        dispatcher->DidEndSending(sending);
         did_receive(std::move(answer));
       });
 }
--- a/Libraries/LibDispatch/target_view.cc
+++ b/Libraries/LibDispatch/target_view.cc
@@ -16,8 +16,9 @@
 constexpr Duration kAverageLife = std::chrono::seconds(2);
 // A full target is passed over for about the time of one statement.
 constexpr Duration kShedPause = std::chrono::milliseconds(15);
-// A replica's position from an answer this recent still holds.
-constexpr Duration kPositionLife = std::chrono::milliseconds(15);
+// A replica that lacked a position is tried again after this: replicas apply
+// continuously, and a try that fails costs a round trip.
+constexpr Duration kPositionLife = std::chrono::milliseconds(40);
 
 }  // namespace
 
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -97,7 +97,7 @@
         return;
       }
       this->session->did_answer =
-          [this, weak = std::weak_ptr<EmulatedSession>(this->session),
+          [weak = std::weak_ptr<EmulatedSession>(this->session),
            deliver = this->life.Wrap([this](const StatementAnswer& answer) {
              this->Deliver(answer);
            })](StatementAnswer answer) {
