LibGateway: Say not ready while cut off from primaries and other places

Change: a proxy that most primaries and every proxy of other places leave without an answer is not ready, and closes sessions at rest once new ones go elsewhere. Ruled out: a promotion (it waits for the leases of the cut zone, as long as the cut lasts, and discards acknowledged commits).

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -329,6 +329,26 @@
   this->heard_at[address] = this->context.scheduler.Now();
 }
 
+TimePoint FailoverAgent::HeardAt(const std::string& address) const {
+  const auto found = this->heard_at.find(address);
+  return found == this->heard_at.end() ? TimePoint{} : found->second;
+}
+
+void FailoverAgent::AskOtherPlaces(const PlaceName& own_place) {
+  for (const auto& [address, member] : this->context.view.members()) {
+    if (member.place != own_place && !member.is_gone)
+      this->Ping(address);
+  }
+}
+
+void FailoverAgent::Ping(const std::string& address) {
+  this->context.peers.Ask(address, HealthQuery{}, kAskTimeout,
+                          this->life.Wrap([this, address](const auto& answer) {
+                            if (answer)
+                              this->DidHear(address);
+                          }));
+}
+
 size_t FailoverAgent::Rank() const {
   const TimePoint now = this->context.scheduler.Now();
   // The last holder goes first, so that the duty does not change hands.
@@ -389,13 +409,7 @@
   });
   const size_t pings = std::min(kPingsPerRound, others.size());
   for (size_t count = 0; count < pings; ++count) {
-    const std::string& address = others.at(this->next_ping++ % others.size());
-    this->context.peers.Ask(
-        address, HealthQuery{}, kAskTimeout,
-        this->life.Wrap([this, address](const auto& answer) {
-          if (answer)
-            this->DidHear(address);
-        }));
+    this->Ping(others.at(this->next_ping++ % others.size()));
   }
 }
 
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -55,6 +55,12 @@
   // A peer has answered or asked.
   void DidHear(const std::string& address);
 
+  // When a member was last heard; zero time when never.
+  TimePoint HeardAt(const std::string& address) const;
+
+  // Asks every member of another place for a sign of life.
+  void AskOtherPlaces(const PlaceName& own_place);
+
   // Starts nothing any more; ends what is under way.
   void Leave();
 
@@ -90,6 +96,7 @@
   // Removes members that have been gone for so long that nobody waits for them.
   void ForgetGone();
   void PingMembers();
+  void Ping(const std::string& address);
   // Whether most members were heard lately: who hears few is itself cut off.
   bool hears_most() const;
   size_t Rank() const;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -32,6 +32,10 @@
 // Between two looks at what may have changed by time alone.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kBusyTickInterval = std::chrono::milliseconds(20);
+// A primary that has been silent for longer counts as out of reach when the
+// proxy asks itself whether it is cut off.
+constexpr Duration kIsolatedSilence = std::chrono::milliseconds(500);
+constexpr Duration kAskOthersInterval = std::chrono::milliseconds(150);
 // Connections of a target that are kept for proxies that join or come back.
 constexpr int kReservedConnections = 2;
 // Entries of targets that lapsed with the store are back by then.
@@ -136,7 +140,8 @@
 }
 
 bool Gateway::is_ready() const {
-  return this->routes.has_value() && !this->draining_since;
+  return this->routes.has_value() && !this->draining_since &&
+         !this->isolation.is_isolated();
 }
 
 Revision Gateway::revision() const {
@@ -282,6 +287,7 @@
     dispatcher->Tick();
   this->failover.Tick();
   this->AskForCopies();
+  this->TickIsolation();
   this->TickDrain();
   this->around.scheduler.PostAfter(
       this->failover.is_active() ? kBusyTickInterval : kTickInterval,
@@ -445,6 +451,53 @@
   this->failover.Leave();
 }
 
+void Gateway::TickIsolation() {
+  const TimePoint now = this->around.scheduler.Now();
+  IsolationWatch::Sight sight;
+  sight.heard_age = Duration::max();
+  for (const auto& [group, dispatcher] : this->dispatchers) {
+    ++sight.groups;
+    if (dispatcher->PrimarySilence() > kIsolatedSilence)
+      ++sight.silent_groups;
+  }
+  for (const auto& [address, member] : this->view.members()) {
+    if (member.place == this->options.place || member.is_gone)
+      continue;
+    ++sight.others;
+    sight.heard_age =
+        std::min(sight.heard_age, now - this->failover.HeardAt(address));
+  }
+  const bool was_isolated = this->isolation.is_isolated();
+  this->isolation.DidSee(sight, now);
+  if (was_isolated != this->isolation.is_isolated())
+    spdlog::warn("event=isolation isolated={} silent_groups={} of={} others={}",
+                 !was_isolated, sight.silent_groups, sight.groups,
+                 sight.others);
+  if (this->isolation.should_ask() &&
+      now - this->asked_others_at >= kAskOthersInterval) {
+    this->asked_others_at = now;
+    this->failover.AskOtherPlaces(this->options.place);
+  }
+  // Sessions at rest are better served by proxies that are not cut off, once
+  // new sessions go there.
+  if (this->isolation.is_isolated() &&
+      now - *this->isolation.since() >= kDrainNotice)
+    this->CloseSessionsAtRest();
+}
+
+void Gateway::CloseSessionsAtRest() {
+  size_t closed = 0;
+  const std::map<GatewaySession*, CallerChannel*> open = this->sessions;
+  for (const auto& [session, channel] : open) {
+    if (closed >= kSessionsClosedPerTick)
+      return;
+    if (!this->sessions.contains(session) || !session->is_at_rest())
+      continue;
+    ++closed;
+    channel->Close();
+  }
+}
+
 void Gateway::TickDrain() {
   if (!this->draining_since || !this->did_drain)
     return;
@@ -453,20 +506,12 @@
       std::min<Duration>(kDrainNotice, this->options.drain_limit * 4 / 10);
   if (elapsed < notice)
     return;
-  size_t closed = 0;
-  const bool is_late = elapsed >= this->options.drain_limit / 2;
-  const std::map<GatewaySession*, CallerChannel*> open = this->sessions;
-  for (const auto& [session, channel] : open) {
-    if (!this->sessions.contains(session))
-      continue;
-    // Open transactions have the first half of the time.
-    if (is_late && session->is_in_transaction())
+  // Open transactions have the first half of the time.
+  if (elapsed >= this->options.drain_limit / 2) {
+    for (const auto& [session, channel] : this->sessions)
       session->AbortTransaction("the proxy is shutting down");
-    if (!session->is_at_rest() || closed >= kSessionsClosedPerTick)
-      continue;
-    ++closed;
-    channel->Close();
   }
+  this->CloseSessionsAtRest();
   const bool is_over = elapsed >= this->options.drain_limit - kDrainReserve;
   if (this->sessions.empty() || is_over)
     this->FinishDrain();
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -22,6 +22,7 @@
 #include "LibDispatch/event_journal.h"
 #include "LibGateway/gateway_metrics.h"
 #include "LibGateway/gateway_session.h"
+#include "LibGateway/isolation_watch.h"
 #include "LibPeer/peer_links.h"
 #include "LibPrimary/primary_leases.h"
 #include "LibRelay/loan_desk.h"
@@ -112,6 +113,8 @@
   std::vector<RelayDialer::Lender> Lenders() const;
   std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
   size_t LinkLimit(const GroupName& group) const;
+  void TickIsolation();
+  void CloseSessionsAtRest();
   void TickDrain();
   void FinishDrain();
 
@@ -133,6 +136,8 @@
   MemberRegistration registration;
   FailoverAgent failover;
   std::map<GatewaySession*, CallerChannel*> sessions;
+  IsolationWatch isolation;
+  TimePoint asked_others_at{};
   TimePoint asked_for_copies_at{};
   std::optional<TimePoint> draining_since;
   std::function<void()> did_drain;
