LibGateway: Give connections to homes where there are more proxies than connections

Each proxy had at least one connection, which exceeds what a target takes at 89 proxies (27). The existing rendezvous choice of homes now decides who has connections; the others borrow. Emulator: an old primary goes on for a second after it could follow, and a split with proxies on the primary's side.

--- a/Libraries/LibEmulator/emulated_group.cc
+++ b/Libraries/LibEmulator/emulated_group.cc
@@ -9,6 +9,7 @@
 
 constexpr Duration kReplicationInterval = std::chrono::milliseconds(10);
 constexpr Duration kPromotionTime = std::chrono::milliseconds(300);
+constexpr Duration kOldPrimaryGoesOn = std::chrono::seconds(1);
 constexpr size_t kTargets = 3;
 constexpr size_t kKeptLengths = 2000;
 
@@ -52,7 +53,9 @@
     for (const auto& member : this->members) {
       if (member.get() == &source || !member->is_running() || this->is_cut)
         continue;
-      // One that led before follows once it reaches the new primary.
+      // One that led before goes on for a while after it reaches the new one.
+      if (member->is_primary() && now < this->taken_over_at + kOldPrimaryGoesOn)
+        continue;
       member->StepDown(source.term());
       member->CopyLog(source.log(), visible, source.term());
     }
@@ -82,6 +85,7 @@
   const Term term{this->leader().term().value + 1};
   this->leader_index = index;
   ++this->promotion_count;
+  this->taken_over_at = this->scheduler.Now();
   this->lengths.clear();
   this->leader().Lead(term);
   this->checker.DidPromote(this->group_name, this->leader().name(),
--- a/Libraries/LibEmulator/emulated_group.h
+++ b/Libraries/LibEmulator/emulated_group.h
@@ -53,6 +53,7 @@
   size_t leader_index = 0;
   Duration lag = std::chrono::milliseconds(20);
   bool is_cut = false;
+  TimePoint taken_over_at{};
   uint64_t promotion_count = 0;
   // How long the leader's log was at each moment of the recent past.
   std::vector<std::pair<TimePoint, size_t>> lengths;
--- a/Libraries/LibEmulator/emulated_world.cc
+++ b/Libraries/LibEmulator/emulated_world.cc
@@ -16,6 +16,9 @@
 constexpr Duration kLeavingTime = std::chrono::seconds(8);
 constexpr Duration kStartTime = std::chrono::seconds(6);
 
+// A split lasts longer than a lease, so that the primary is replaced in it.
+constexpr Duration kLongSplit = std::chrono::seconds(9);
+
 const char* const kPlaces[] = {"place-a", "place-b", "place-c"};
 
 }  // namespace
@@ -215,6 +218,30 @@
   this->cuts.Cut(this->nodes[one]->address(), this->nodes[other]->address());
 }
 
+void EmulatedWorld::SplitFromPrimary(size_t group_index, Duration duration) {
+  EmulatedGroup& split = this->group(group_index);
+  const TargetName primary = split.leader().name();
+  split.SetCutFromReplicas(true);
+  const size_t with_primary = 1 + this->random.Below(2);
+  for (size_t index = 0; index < this->nodes.size(); ++index) {
+    if (index >= with_primary) {
+      this->CutNodeFromTarget(index, primary);
+      continue;
+    }
+    this->FailStore(index, EmulatedStoreAccess::Fault::kSilent, duration);
+    for (size_t other = with_primary; other < this->nodes.size(); ++other)
+      this->CutNodes(index, other);
+    for (const auto& target : split.targets()) {
+      if (target->name() != primary)
+        this->CutNodeFromTarget(index, target->name());
+    }
+  }
+  this->scheduler.PostAfter(duration, [this, &split] {
+    this->cuts.HealAll();
+    split.SetCutFromReplicas(false);
+  });
+}
+
 void EmulatedWorld::CrashTarget(const TargetName& name, Duration down) {
   EmulatedTarget& target = *this->groups.at(this->GroupOf(name))->Find(name);
   if (!target.is_running())
@@ -289,6 +316,11 @@
     case 10:
       chosen.SetCutFromReplicas(true);
       break;
+    case 11:
+    case 12:
+      this->SplitFromPrimary(this->random.Below(this->groups.size()),
+                             lasts + kLongSplit);
+      return;
     default:
       return;
   }
--- a/Libraries/LibEmulator/emulated_world.h
+++ b/Libraries/LibEmulator/emulated_world.h
@@ -47,6 +47,9 @@
                  Duration duration);
   void CutNodeFromTarget(size_t node, const TargetName& target);
   void CutNodes(size_t one, size_t other);
+  // A group's primary and some proxies on one side; its replicas, the store and
+  // the other proxies on the other.
+  void SplitFromPrimary(size_t group_index, Duration duration);
   void CrashTarget(const TargetName& target, Duration down);
   // The target says that it is leaving and ends later; a new start follows.
   void ReleaseTarget(const TargetName& target);
@@ -58,7 +61,7 @@
   EmulatedStore& store() { return this->emulated_store; }
   EmulatedCaller::Counts TotalCounts() const;
   // How many kinds of faults InjectFault() chooses from.
-  static constexpr uint64_t kFaultKinds = 11;
+  static constexpr uint64_t kFaultKinds = 13;
 
  private:
   class Codec;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "LibDispatch/open_transaction.h"
 #include "LibDispatch/target_view.h"
+#include "LibMembership/home_set.h"
 #include "LibStatement/error_names.h"
 
 namespace kingcupmill {
@@ -38,6 +39,9 @@
 constexpr Duration kAskOthersInterval = std::chrono::milliseconds(150);
 // Connections of a target that are kept for proxies that join or come back.
 constexpr int kReservedConnections = 2;
+// Where there are more proxies than connections, few proxies have this many
+// each and lend them, so that a borrower finds a free one at the first it asks.
+constexpr int kConnectionsOfHome = 3;
 // Entries of targets that lapsed with the store are back by then.
 constexpr Duration kDirectoryCertainAfter = std::chrono::milliseconds(3000);
 // New sessions stop coming about two seconds after the proxy says that it is
@@ -97,7 +101,7 @@
       relay_dialer(
           surroundings.scheduler,
           surroundings.peers,
-          [this] { return this->Lenders(); },
+          [this](const GroupName& group) { return this->LendersOf(group); },
           this->options.place,
           this->options.incarnation,
           this->options.random_seed + 1),
@@ -244,27 +248,60 @@
   return entries;
 }
 
-std::vector<RelayDialer::Lender> Gateway::Lenders() const {
+std::vector<Member> Gateway::HomesOf(const GroupName& group) const {
+  std::vector<Member> members;
+  for (const auto& [address, record] : this->view.members()) {
+    if (!record.is_gone)
+      members.push_back(Member{record.vm, record.place, address});
+  }
+  const int capacity = this->SharedConnections(group);
+  if (capacity >= static_cast<int>(members.size()))
+    return members;
+  std::set<PlaceName> places;
+  for (const TargetEntry& target : this->TargetsOf(group))
+    places.insert(target.place);
+  const std::vector<VmName> chosen = ChooseHomes(
+      group, members, places,
+      static_cast<size_t>(std::max(capacity / kConnectionsOfHome, 1)));
+  std::erase_if(members, [&](const Member& member) {
+    return std::find(chosen.begin(), chosen.end(), member.vm) == chosen.end();
+  });
+  return members;
+}
+
+int Gateway::SharedConnections(const GroupName& group) const {
+  const auto declared = this->routes->groups.find(group);
+  if (declared == this->routes->groups.end())
+    return 0;
+  return std::max(declared->second.maximum_connections - kReservedConnections,
+                  1);
+}
+
+std::vector<RelayDialer::Lender> Gateway::LendersOf(
+    const GroupName& group) const {
   std::vector<RelayDialer::Lender> lenders;
-  for (const auto& [address, member] : this->view.members()) {
-    if (address != this->options.peer_address && !member.is_gone)
-      lenders.push_back(RelayDialer::Lender{address, member.place});
+  if (!this->routes)
+    return lenders;
+  for (const Member& home : this->HomesOf(group)) {
+    if (home.peer_address != this->options.peer_address)
+      lenders.push_back(RelayDialer::Lender{home.peer_address, home.place});
   }
   return lenders;
 }
 
 size_t Gateway::LinkLimit(const GroupName& group) const {
-  const auto declared = this->routes->groups.find(group);
-  if (declared == this->routes->groups.end())
+  const std::vector<Member> homes = this->HomesOf(group);
+  // Before the members are known, one connection does no harm.
+  if (homes.empty())
+    return 1;
+  const bool is_home =
+      std::any_of(homes.begin(), homes.end(), [this](const Member& home) {
+        return home.peer_address == this->options.peer_address;
+      });
+  if (!is_home)
     return 0;
-  const auto& members = this->view.members();
-  const auto live =
-      std::count_if(members.begin(), members.end(),
-                    [](const auto& member) { return !member.second.is_gone; });
-  const int share =
-      (declared->second.maximum_connections - kReservedConnections) /
-      std::max(static_cast<int>(live), 1);
-  return static_cast<size_t>(std::max(share, 1));
+  return std::max<size_t>(
+      static_cast<size_t>(this->SharedConnections(group)) / homes.size(), 1);
 }
 
 void Gateway::UpdateDispatchers() {
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -23,6 +23,7 @@
 #include "LibGateway/gateway_metrics.h"
 #include "LibGateway/gateway_session.h"
 #include "LibGateway/isolation_watch.h"
+#include "LibMembership/member.h"
 #include "LibPeer/peer_links.h"
 #include "LibPrimary/primary_leases.h"
 #include "LibRelay/loan_desk.h"
@@ -110,8 +111,12 @@
   bool StopPrimary(const PrimaryRecord& record);
   CloseAnswer HandleClose(const CloseQuery& query);
   HealthAnswer HandleHealth(const HealthQuery& query);
-  std::vector<RelayDialer::Lender> Lenders() const;
+  // Proxies that have connections of their own to the targets of a group.
+  std::vector<Member> HomesOf(const GroupName& group) const;
+  std::vector<RelayDialer::Lender> LendersOf(const GroupName& group) const;
   std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
+  // Connections of one target of a group that all proxies may have together.
+  int SharedConnections(const GroupName& group) const;
   size_t LinkLimit(const GroupName& group) const;
   void TickIsolation();
   void CloseSessionsAtRest();
--- a/Libraries/LibOperator/operator_commands.h
+++ b/Libraries/LibOperator/operator_commands.h
@@ -23,7 +23,7 @@
   int exit_code = 0;
 };
 
-// The exit codes of the command line; docs/OPERATING.md lists them.
+// The exit codes of the command line; docs/OPERATIONS.md lists them.
 enum class CommandExit : int {
   kOk = 0,
   kFailed = 1,
--- a/Libraries/LibRelay/relay_dialer.cc
+++ b/Libraries/LibRelay/relay_dialer.cc
@@ -27,7 +27,7 @@
           LinkHandlers handlers)
       : dialer(dialer),
         target(endpoint.target),
-        lender(dialer.ChooseLender(endpoint.target)),
+        lender(dialer.ChooseLender(endpoint)),
         loan(dialer.loan_prefix + "." + std::to_string(dialer.next_loan++)),
         handlers(std::move(handlers)) {
     if (this->lender.empty()) {
@@ -133,15 +133,15 @@
   return std::make_unique<Channel>(*this, endpoint, std::move(handlers));
 }
 
-std::string RelayDialer::ChooseLender(const TargetName& target) {
+std::string RelayDialer::ChooseLender(const TargetEndpoint& endpoint) {
   const TimePoint now = this->scheduler.Now();
   std::erase_if(this->refused_at, [&](const auto& refusal) {
     return now - refusal.second >= kRefusalMemory;
   });
   std::vector<std::string> near;
   std::vector<std::string> far;
-  for (const Lender& lender : this->lenders()) {
-    if (this->refused_at.contains({target, lender.address}))
+  for (const Lender& lender : this->lenders(endpoint.group)) {
+    if (this->refused_at.contains({endpoint.target, lender.address}))
       continue;
     (lender.place == this->place ? near : far).push_back(lender.address);
   }
--- a/Libraries/LibRelay/relay_dialer.h
+++ b/Libraries/LibRelay/relay_dialer.h
@@ -25,7 +25,7 @@
     std::string address;
     PlaceName place;
   };
-  using Lenders = std::function<std::vector<Lender>()>;
+  using Lenders = std::function<std::vector<Lender>(const GroupName&)>;
 
   // `loan_prefix` makes the names of loans unique.
   RelayDialer(Scheduler& scheduler,
@@ -43,7 +43,7 @@
   using Key = std::pair<TargetName, std::string>;
 
   // Returns the address of the proxy to ask, or "".
-  std::string ChooseLender(const TargetName& target);
+  std::string ChooseLender(const TargetEndpoint& endpoint);
   void DidRefuse(const TargetName& target, const std::string& lender);
 
   Scheduler& scheduler;
--- a/Services/kingcupmill_standins.cc
+++ b/Services/kingcupmill_standins.cc
@@ -21,7 +21,7 @@
 using kingcupmill::SettingError;
 using kingcupmill::StandinHost;
 
-// Exit codes; docs/OPERATING.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitDeclarations = 2;
--- a/Services/kingcupmilld.cc
+++ b/Services/kingcupmilld.cc
@@ -24,7 +24,7 @@
 using kingcupmill::Result;
 using kingcupmill::SettingError;
 
-// Exit codes; docs/OPERATING.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitSettings = 2;
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -25,7 +25,7 @@
 using kingcupmill::PrimaryFault;
 using kingcupmill::StatementCostOptions;
 
-// Exit codes; docs/OPERATING.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitViolations = 3;
