LibRelay: Number the questions of a loan, so that a lost one ends it

On sockets the loss of one ends the link, so only the emulator showed it; the protocol no longer depends on that.

--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -144,8 +144,8 @@
     json commands = json::array();
     for (const TargetCommand& command : query.commands)
       commands.push_back(ToJson(command));
-    return json::array(
-        {kRelayQuery, query.loan, std::move(commands), query.timeout.count()});
+    return json::array({kRelayQuery, query.loan, std::move(commands),
+                        query.timeout.count(), query.sequence});
   }
   json operator()(const ReturnQuery& query) const {
     return json::array({kReturnQuery, query.loan});
@@ -226,6 +226,7 @@
   for (const json& command : body.at(2))
     query.commands.push_back(CommandFromJson(command));
   query.timeout = Duration(body.at(3).get<int64_t>());
+  query.sequence = body.at(4);
   return query;
 }
 
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -91,6 +91,8 @@
 // Sends commands on a lent connection; the answer has the answers to all.
 struct RelayQuery {
   std::string loan;
+  // Counts the questions of this loan from 0: one that was lost ends the loan.
+  uint64_t sequence = 0;
   std::vector<TargetCommand> commands;
   // How long the peer waits for the target.
   Duration timeout{};
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -85,8 +85,9 @@
       command.value = "item data";
       command.shape = PreparedShape{StatementAccess::kWrite, "shape"};
       const auto query = ThroughTheWire(
-          RelayQuery{"loan", {command}, std::chrono::milliseconds(800)});
+          RelayQuery{"loan", 3, {command}, std::chrono::milliseconds(800)});
       REQUIRE(query.commands.size() == 1);
+      CHECK(query.sequence == 3);
       CHECK(query.commands[0].required_position == command.required_position);
       CHECK(query.commands[0].shape == command.shape);
       CHECK(query.commands[0].value == command.value);
--- a/Libraries/LibRelay/loan_desk.cc
+++ b/Libraries/LibRelay/loan_desk.cc
@@ -24,6 +24,7 @@
   GroupDispatcher* group = nullptr;
   Scheduler::TimerId timer = 0;
   bool is_running = false;
+  uint64_t next_sequence = 0;
 };
 
 LoanDesk::LoanDesk(Scheduler& scheduler, FindGroup find_group)
@@ -66,11 +67,15 @@
 void LoanDesk::Handle(const RelayQuery& query,
                       const PeerLinks::Answer& answer) {
   const auto found = this->loans.find(query.loan);
-  if (found == this->loans.end() || !found->second->link->is_open()) {
+  const bool is_usable = found != this->loans.end() &&
+                         found->second->link->is_open() &&
+                         found->second->next_sequence == query.sequence;
+  if (!is_usable) {
     this->End(query.loan);
     return answer(RelayAnswer{true, {}});
   }
   const LoanPointer loan = found->second;
+  ++loan->next_sequence;
   loan->is_running = true;
   this->RestartTimer(query.loan, loan);
   loan->link->Relay(
--- a/Libraries/LibRelay/relay_dialer.cc
+++ b/Libraries/LibRelay/relay_dialer.cc
@@ -50,10 +50,12 @@
     query.loan = this->loan;
     query.commands.assign(commands.begin(), commands.end());
     query.timeout = kRelayTimeout;
+    query.sequence = this->sent_count++;
     this->dialer.peers.Ask(
         this->lender, query, kRelayTimeout,
-        this->life.Wrap([this](const std::optional<PeerAnswer>& answer) {
-          this->DidRelay(answer);
+        this->life.Wrap([this, sequence = query.sequence](
+                            const std::optional<PeerAnswer>& answer) {
+          this->DidRelay(sequence, answer);
         }));
   }
 
@@ -82,9 +84,11 @@
       did_open(borrowed->position);
   }
 
-  void DidRelay(const std::optional<PeerAnswer>& answer) {
+  void DidRelay(uint64_t sequence, const std::optional<PeerAnswer>& answer) {
     const auto* relayed = answer ? std::get_if<RelayAnswer>(&*answer) : nullptr;
-    if (!relayed || relayed->is_lost) {
+    // An answer that overtook another one would pass for it.
+    const bool is_in_order = sequence == this->answered_count++;
+    if (!relayed || relayed->is_lost || !is_in_order) {
       this->dialer.DidRefuse(this->target, this->lender);
       return this->Fail(LinkFailure::kLost);
     }
@@ -112,6 +116,8 @@
   std::string loan;
   LinkHandlers handlers;
   bool is_asked = true;
+  uint64_t sent_count = 0;
+  uint64_t answered_count = 0;
   LifeGuard life;
 };
 
