--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -55,6 +55,9 @@
 constexpr Duration kComeBackWhenBusy = std::chrono::milliseconds(50);
 constexpr Duration kComeBackAfterFailover = std::chrono::milliseconds(400);
 
+// Why a read waits when no known position is young enough.
+constexpr const char* kNoProof = "a proof of age";
+
 }  // namespace
 
 struct GroupDispatcher::Work {
@@ -353,7 +356,7 @@
   const TimePoint now = this->scheduler.Now();
   const auto lease = this->leases.ValidAt(this->group, now);
   const auto required = this->RequiredPosition(work);
-  work.waits_for = required ? "a target" : "a proof of age";
+  work.waits_for = required ? "a target" : kNoProof;
   std::shared_ptr<TargetView> best;
   Duration best_cost = Duration::max();
   std::shared_ptr<TargetView> best_to_open;
--- a/Libraries/LibEmulator/emulated_day.cc
+++ b/Libraries/LibEmulator/emulated_day.cc
@@ -8,7 +8,7 @@
 
 constexpr Duration kBetweenFaults = std::chrono::milliseconds(1500);
 // The longest fault, a lease, and what a hand-over takes.
-constexpr Duration kRecovery = std::chrono::seconds(20);
+constexpr Duration kRecovery = std::chrono::seconds(32);
 constexpr Duration kCounted = std::chrono::seconds(3);
 
 }  // namespace
--- a/Libraries/LibEmulator/emulated_group.cc
+++ b/Libraries/LibEmulator/emulated_group.cc
@@ -51,7 +51,7 @@
         visible = length;
     }
     for (const auto& member : this->members) {
-      if (member.get() == &source || !member->is_running() || this->is_cut)
+      if (member.get() == &source || !member->is_running() || this->cuts > 0)
         continue;
       // One that led before goes on for a while after it reaches the new one.
       if (member->is_primary() && now < this->taken_over_at + kOldPrimaryGoesOn)
--- a/Libraries/LibEmulator/emulated_group.h
+++ b/Libraries/LibEmulator/emulated_group.h
@@ -37,8 +37,9 @@
 
   // Replicas apply what is older than this.
   void SetLag(Duration lag) { this->lag = lag; }
-  // The primary reaches no replica.
-  void SetCutFromReplicas(bool is_cut) { this->is_cut = is_cut; }
+  // The primary reaches no replica while any fault cuts it off.
+  void CutFromReplicas() { ++this->cuts; }
+  void HealCutFromReplicas() { --this->cuts; }
 
   uint64_t promotions() const { return this->promotion_count; }
 
@@ -52,7 +53,7 @@
   std::vector<std::unique_ptr<EmulatedTarget>> members;
   size_t leader_index = 0;
   Duration lag = std::chrono::milliseconds(20);
-  bool is_cut = false;
+  int cuts = 0;
   TimePoint taken_over_at{};
   uint64_t promotion_count = 0;
   // How long the leader's log was at each moment of the recent past.
--- a/Libraries/LibEmulator/emulated_node.h
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -20,16 +20,24 @@
 // of targets.
 class EmulatedCuts {
  public:
-  void Cut(const std::string& from, const std::string& to) {
-    this->pairs.emplace(from, to);
+  // Cuts of one fault are healed together.
+  using Fault = uint64_t;
+
+  void Cut(Fault fault, const std::string& from, const std::string& to) {
+    this->pairs_by_fault[fault].emplace(from, to);
   }
-  void HealAll() { this->pairs.clear(); }
+  void Heal(Fault fault) { this->pairs_by_fault.erase(fault); }
+  void HealAll() { this->pairs_by_fault.clear(); }
   bool is_cut(const std::string& from, const std::string& to) const {
-    return this->pairs.contains({from, to}) || this->pairs.contains({to, from});
+    for (const auto& [fault, pairs] : this->pairs_by_fault) {
+      if (pairs.contains({from, to}) || pairs.contains({to, from}))
+        return true;
+    }
+    return false;
   }
 
  private:
-  std::set<std::pair<std::string, std::string>> pairs;
+  std::map<Fault, std::set<std::pair<std::string, std::string>>> pairs_by_fault;
 };
 
 // One proxy with emulated surroundings; the process in it can be killed and
--- a/Libraries/LibEmulator/emulated_world.h
+++ b/Libraries/LibEmulator/emulated_world.h
@@ -88,6 +88,7 @@
   std::map<TargetName, int64_t> starts;
   std::map<TargetName, bool> is_leaving;
   uint64_t revision = 0;
+  EmulatedCuts::Fault fault = 0;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibWire/line_connection.cc
+++ b/Libraries/LibWire/line_connection.cc
@@ -27,6 +27,10 @@
 // Bytes that the other end does not acknowledge for this long break the
 // connection; without it a cut hangs it for minutes.
 constexpr int kUnacknowledgedLimitMs = 2500;
+// A quiet connection is probed after this, and again at the interval, so that
+// those whose other end is gone do not pile up.
+constexpr int kKeepAliveIdleSeconds = 15;
+constexpr int kKeepAliveIntervalSeconds = 3;
 // A listener that is out of descriptors tries again after this.
 constexpr std::chrono::milliseconds kAcceptRetry{20};
 
