LibRelay: Make changes of the store through another proxy when it turns this one away

Three of seven members agreed, the others were cut off, so nobody started before the entry was gone (12.4 s); the members were waited for until 16.4 s; then the store turned the proxy with the duty away (429), so that it could not record the new primary until 20.1 s. Ruled out: the promotion itself (1.0 s). Change: a change of the store that this proxy cannot make is made through another one; copies are asked for at once in a hand-over; two in five members are enough when none of the rest says that it hears the primary. The new test failed before (hand-over not over 1.5 s after the store turned its proxy away).

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -27,6 +27,9 @@
 // store replaces the primary only after this: most others must be gone, not cut
 // off.
 constexpr Duration kAloneAfter = std::chrono::seconds(6);
+// Two in five members are a large part.
+constexpr size_t kLargePart = 5;
+constexpr Duration kLargePartAfter = std::chrono::milliseconds(700);
 // Each proxy waits this much longer than the one before it in the order.
 constexpr Duration kRankDelay = std::chrono::milliseconds(200);
 // A proxy that has not been heard for this long has no place in the order.
@@ -214,6 +217,11 @@
     return false;
   if (2 * lost > members)
     return true;
+  // With some members out of reach fewer must do, a little later: should one of
+  // the others hear the primary, it is used again.
+  const bool is_large_part = lost >= 2 && kLargePart * lost >= 2 * members;
+  if (is_large_part && now - suspicion.since > kLargePartAfter)
+    return true;
   return now - suspicion.since > kAloneAfter;
 }
 
--- a/Libraries/LibEmulator/emulated_world_test.cc
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -85,6 +85,34 @@
     CHECK(FirstViolation(world) == "");
   }
 
+  SUBCASE("end a hand-over though the store turns its proxy away") {
+    world.RunFor(std::chrono::seconds(2));
+    const TargetName lost = world.group(0).leader().name();
+    world.CrashTarget(lost, std::chrono::seconds(30));
+    size_t holder = 5;
+    for (int step = 0; step < 200 && holder == 5; ++step) {
+      world.RunFor(std::chrono::milliseconds(10));
+      const DutyRecord& duty =
+          world.node(0).gateway()->coordination_view().duty();
+      for (size_t index = 0; index < 5; ++index) {
+        if (duty.is_held &&
+            duty.holder.value == "vm-" + world.node(index).address())
+          holder = index;
+      }
+    }
+    REQUIRE(holder < 5);
+    world.FailStore(holder, EmulatedStoreAccess::Fault::kRefuses,
+                    std::chrono::seconds(9));
+    world.RunFor(std::chrono::milliseconds(1500));
+    const size_t other = (holder + 1) % 5;
+    const PrimaryRecord* record =
+        world.node(other).gateway()->primary_leases().Find(
+            world.group(0).name());
+    CHECK(record->primary != lost);
+    CHECK(record->state == PrimaryState::kServing);
+    CHECK(FirstViolation(world) == "");
+  }
+
   SUBCASE(
       "let the successor of a proxy that ordered a promotion go on with "
       "the same target") {
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -28,7 +28,9 @@
 // Copies are asked from another proxy when the store has not answered for
 // longer than a long poll takes.
 constexpr Duration kCopyAfter = std::chrono::milliseconds(2200);
+constexpr Duration kCopyAfterRefusal = std::chrono::milliseconds(700);
 constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+constexpr Duration kCopyIntervalInHandover = std::chrono::milliseconds(100);
 constexpr Duration kCopyTimeout = std::chrono::milliseconds(600);
 // Between two looks at what may have changed by time alone.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
@@ -85,6 +87,11 @@
       around(surroundings),
       random(this->options.random_seed),
       journal(surroundings.scheduler),
+      store(
+          surroundings.store,
+          surroundings.peers,
+          [this] { return this->OtherMembers(); },
+          this->options.random_seed + 2),
       configuration(surroundings.scheduler,
                     surroundings.store,
                     FollowOptions(surroundings.codec.configuration_table()),
@@ -109,14 +116,14 @@
           surroundings.scheduler,
           [this](const GroupName& group) { return this->FindGroup(group); }),
       registration(surroundings.scheduler,
-                   surroundings.store,
+                   this->store,
                    this->view,
                    SelfRecord(this->options)),
       failover(FailoverAgent::Context{
-          surroundings.scheduler, surroundings.store, this->view,
-          surroundings.peers, surroundings.authority, this->journal,
-          this->options.vm, this->options.peer_address,
-          this->options.incarnation, kLeaseLength + kLeaseSlack,
+          surroundings.scheduler, this->store, this->view, surroundings.peers,
+          surroundings.authority, this->journal, this->options.vm,
+          this->options.peer_address, this->options.incarnation,
+          kLeaseLength + kLeaseSlack,
           [this] {
             std::vector<GroupName> names;
             for (const auto& [name, dispatcher] : this->dispatchers)
@@ -331,17 +338,31 @@
       this->life.Wrap([this] { this->Tick(); }));
 }
 
-void Gateway::AskForCopies() {
-  const TimePoint now = this->around.scheduler.Now();
-  const bool is_current = now - this->coordination.read_at() < kCopyAfter &&
-                          this->routes.has_value();
-  if (is_current || now - this->asked_for_copies_at < kCopyInterval)
-    return;
+std::vector<std::string> Gateway::OtherMembers() const {
   std::vector<std::string> others;
   for (const auto& [address, member] : this->view.members()) {
     if (address != this->options.peer_address && !member.is_gone)
       others.push_back(address);
   }
+  return others;
+}
+
+void Gateway::AskForCopies() {
+  const TimePoint now = this->around.scheduler.Now();
+  // A store that is known to turn this proxy away is not waited for, least of
+  // all in the middle of a hand-over.
+  const bool is_turned_away = !this->coordination.steady_since().has_value();
+  Duration patience = kCopyAfter;
+  if (is_turned_away)
+    patience = this->failover.is_active() ? kCopyIntervalInHandover
+                                          : kCopyAfterRefusal;
+  const Duration interval =
+      this->failover.is_active() ? kCopyIntervalInHandover : kCopyInterval;
+  const bool is_current =
+      now - this->coordination.read_at() < patience && this->routes.has_value();
+  if (is_current || now - this->asked_for_copies_at < interval)
+    return;
+  std::vector<std::string> others = this->OtherMembers();
   if (others.empty())
     others = this->options.seed_addresses;
   std::erase(others, this->options.peer_address);
@@ -476,6 +497,8 @@
     return this->loan_desk.Handle(*relay, answer);
   if (const auto* returned = std::get_if<ReturnQuery>(&query))
     return this->loan_desk.Handle(*returned, answer);
+  if (const auto* change = std::get_if<ChangeQuery>(&query))
+    return this->store.Handle(*change, answer);
   answer(this->HandleHealth(std::get<HealthQuery>(query)));
 }
 
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -28,6 +28,7 @@
 #include "LibPrimary/primary_leases.h"
 #include "LibRelay/loan_desk.h"
 #include "LibRelay/relay_dialer.h"
+#include "LibRelay/relaying_store.h"
 #include "LibTables/table_follower.h"
 
 namespace kingcupmill {
@@ -105,6 +106,8 @@
   void DidReadCoordination();
   void UpdateDispatchers();
   void Tick();
+  // The addresses of the other members that are not gone.
+  std::vector<std::string> OtherMembers() const;
   void AskForCopies();
   void TakeCopies(const CopyAnswer& answer, TimePoint asked_at);
   CopyAnswer MakeCopies(const CopyQuery& query) const;
@@ -128,6 +131,7 @@
   SeededRandom random;
   EventJournal journal;
   GatewayMetrics metrics;
+  RelayingStore store;
   TableFollower configuration;
   TableFollower targets;
   TableFollower coordination;
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -22,6 +22,8 @@
 constexpr int kRelayAnswer = 10;
 constexpr int kReturnQuery = 11;
 constexpr int kReturnAnswer = 12;
+constexpr int kChangeQuery = 13;
+constexpr int kChangeAnswer = 14;
 
 json ToJson(const std::optional<LogPoint>& point) {
   if (!point)
@@ -150,6 +152,20 @@
   json operator()(const ReturnQuery& query) const {
     return json::array({kReturnQuery, query.loan});
   }
+  json operator()(const ChangeQuery& query) const {
+    json expected = json::array();
+    for (const auto& row : query.change.expected)
+      expected.push_back(json::array({row.key, row.version}));
+    json puts = json::array();
+    for (const auto& row : query.change.puts)
+      puts.push_back(json::array({row.key, row.value}));
+    return json::array({kChangeQuery, query.table, std::move(expected),
+                        std::move(puts), query.change.removals});
+  }
+  json operator()(const ChangeAnswer& answer) const {
+    return json::array(
+        {kChangeAnswer, answer.is_answered, answer.is_applied, answer.version});
+  }
   json operator()(const BorrowAnswer& answer) const {
     return json::array(
         {kBorrowAnswer, answer.is_lent, ToJson(answer.position)});
@@ -220,6 +236,17 @@
   return answer;
 }
 
+ChangeQuery ChangeQueryFrom(const json& body) {
+  ChangeQuery query;
+  query.table = body.at(1);
+  for (const json& row : body.at(2))
+    query.change.expected.push_back({row.at(0), row.at(1)});
+  for (const json& row : body.at(3))
+    query.change.puts.push_back({row.at(0), row.at(1)});
+  query.change.removals = body.at(4).get<std::vector<std::string>>();
+  return query;
+}
+
 RelayQuery RelayQueryFrom(const json& body) {
   RelayQuery query;
   query.loan = body.at(1);
@@ -260,6 +287,11 @@
       return NumberedQuery{number, RelayQueryFrom(body)};
     case kReturnQuery:
       return NumberedQuery{number, ReturnQuery{body.at(1)}};
+    case kChangeQuery:
+      return NumberedQuery{number, ChangeQueryFrom(body)};
+    case kChangeAnswer:
+      return NumberedAnswer{number,
+                            ChangeAnswer{body.at(1), body.at(2), body.at(3)}};
     case kBorrowAnswer:
       return NumberedAnswer{
           number, BorrowAnswer{body.at(1), PointFromJson(body.at(2))}};
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -111,18 +111,34 @@
 
 struct ReturnAnswer {};
 
+// Asks the peer to make a change in the store, which does not take it from the
+// asker.
+struct ChangeQuery {
+  std::string table;
+  TableChange change;
+};
+
+struct ChangeAnswer {
+  // The store answered the peer.
+  bool is_answered = false;
+  bool is_applied = false;
+  uint64_t version = 0;
+};
+
 using PeerQuery = std::variant<CopyQuery,
                                CloseQuery,
                                HealthQuery,
                                BorrowQuery,
                                RelayQuery,
-                               ReturnQuery>;
+                               ReturnQuery,
+                               ChangeQuery>;
 using PeerAnswer = std::variant<CopyAnswer,
                                 CloseAnswer,
                                 HealthAnswer,
                                 BorrowAnswer,
                                 RelayAnswer,
-                                ReturnAnswer>;
+                                ReturnAnswer,
+                                ChangeAnswer>;
 
 // Encodes a numbered query or answer as CBOR.
 std::vector<uint8_t> EncodeQuery(uint64_t number, const PeerQuery& query);
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -76,6 +76,18 @@
       CHECK(received.proofs[0].position == sent.proofs[0].position);
     }
 
+    SUBCASE("a change in the store, and its outcome") {
+      TableChange change;
+      change.expected.push_back({"duty", 4});
+      change.puts.push_back({"duty", "mine"});
+      change.removals.push_back("old");
+      const auto query = ThroughTheWire(ChangeQuery{"t", change});
+      CHECK(query.change.expected[0].version == 4);
+      CHECK(query.change.puts[0].value == "mine");
+      CHECK(query.change.removals == change.removals);
+      CHECK(BackThroughTheWire(ChangeAnswer{true, true, 9}).version == 9);
+    }
+
     SUBCASE("statements over a lent connection") {
       TargetCommand command;
       command.kind = TargetCommandKind::kExecute;
--- a/Libraries/LibRelay/Forward.h
+++ b/Libraries/LibRelay/Forward.h
@@ -5,6 +5,7 @@
 
 class LoanDesk;
 class RelayDialer;
+class RelayingStore;
 
 }  // namespace kingcupmill
 
