--- a/Libraries/LibDispatch/Forward.h
+++ b/Libraries/LibDispatch/Forward.h
@@ -8,6 +8,7 @@
 class EventJournal;
 class GroupDispatcher;
 class OpenTransaction;
+class SentStatements;
 class TargetView;
 
 }  // namespace kingcupmill
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -42,12 +42,6 @@
 // A read without an answer for this long is sent once more; nine in ten take a
 // third of it.
 constexpr Duration kHedgeAfter = std::chrono::milliseconds(120);
-// A statement whose target has answered what was sent this much later has lost
-// its answer; its connection is closed, because nothing further comes on it.
-// What leaves a caller in doubt is waited for longer.
-constexpr Duration kLostAnswerAfter = std::chrono::milliseconds(300);
-constexpr Duration kLostOutcomeAfter = std::chrono::milliseconds(400);
-constexpr Duration kOvertakenBy = std::chrono::milliseconds(150);
 // A primary that has been silent for longer is not waited for.
 constexpr Duration kSilentPrimary = std::chrono::milliseconds(600);
 // When a caller should come back after a refusal: to a busy target, and to a
@@ -460,8 +454,10 @@
   command.required_position = choice.required_position;
   if (choice.lease)
     this->at_primary.emplace(work->number, AtPrimary{link, *choice.lease});
-  const uint64_t sending =
-      this->DidSend(choice.target, link, !request.is_write);
+  const uint64_t sending = this->sent_statements.DidSend(
+      choice.target, link,
+      request.is_write ? SentStatements::Loss::kOutcome
+                       : SentStatements::Loss::kNothing);
   this->journal.Write(
       EventJournal::Kind::kRouted,
       "event=routed request={} group={} target={} primary={} after={}.{} "
@@ -476,7 +472,7 @@
       *request.record, std::move(command), timeout,
       this->life.Wrap([this, work, choice, link, sending,
                        sent_at = now](std::optional<StatementAnswer> answer) {
-        this->DidEndSending(sending);
+        this->sent_statements.DidEnd(sending);
         this->at_primary.erase(work->number);
         --work->running;
         this->DidReceive(work, choice, link, sent_at, std::move(answer));
@@ -787,41 +783,10 @@
   this->Release(view, link);
 }
 
-uint64_t GroupDispatcher::DidSend(const std::shared_ptr<TargetView>& target,
-                                  const std::shared_ptr<TargetLink>& link,
-                                  bool is_repeatable) {
-  ++target->in_flight;
-  const uint64_t sending = this->next_sending++;
-  this->sent_statements.emplace(sending,
-                                SentStatement{target, link, is_repeatable});
-  return sending;
-}
-
-void GroupDispatcher::DidEndSending(uint64_t sending) {
-  const auto ended = this->sent_statements.extract(sending);
-  if (!ended.empty())
-    --ended.mapped().target->in_flight;
-}
-
-void GroupDispatcher::CloseLostLinks() {
-  const TimePoint now = this->scheduler.Now();
-  std::vector<std::shared_ptr<TargetLink>> lost;
-  for (const auto& [number, statement] : this->sent_statements) {
-    const auto since = statement.link->unanswered_since();
-    const Duration patience =
-        statement.is_repeatable ? kLostAnswerAfter : kLostOutcomeAfter;
-    if (!since || now - *since < patience)
-      continue;
-    if (statement.target->newest_answered_sent_at > *since + kOvertakenBy)
-      lost.push_back(statement.link);
-  }
-  for (const auto& link : lost)
-    link->Close();
-}
-
 void GroupDispatcher::Tick() {
   const TimePoint now = this->scheduler.Now();
-  this->CloseLostLinks();
+  for (const auto& link : this->sent_statements.FindLost(now))
+    link->Close();
   this->Dispatch();
   this->Prune();
   // Connections are made before they are needed, off the path of statements.
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -15,6 +15,7 @@
 #include "LibCore/scheduler.h"
 #include "LibDirectory/target_entry.h"
 #include "LibDispatch/Forward.h"
+#include "LibDispatch/sent_statements.h"
 #include "LibDispatch/work_request.h"
 #include "LibLink/target_channel.h"
 #include "LibPrimary/position_proofs.h"
@@ -98,12 +99,7 @@
   void DidReceiveFrom(TargetView& target,
                       const StatementAnswer& answer,
                       TimePoint sent_at);
-  // Returns the number of the sending, for DidEndSending(). A statement is
-  // repeatable when nothing is in doubt once its answer is lost.
-  uint64_t DidSend(const std::shared_ptr<TargetView>& target,
-                   const std::shared_ptr<TargetLink>& link,
-                   bool is_repeatable);
-  void DidEndSending(uint64_t sending);
+  SentStatements& sent() { return this->sent_statements; }
   void DidOpenTransaction(OpenTransaction* transaction);
   void DidEndTransaction(OpenTransaction* transaction,
                          const std::shared_ptr<TargetView>& target,
@@ -155,7 +151,6 @@
                const std::shared_ptr<TargetLink>& link);
   void RollBack(const std::shared_ptr<TargetView>& target,
                 const std::shared_ptr<TargetLink>& link);
-  void CloseLostLinks();
   void GetMoreLinks(TargetView& target);
   bool is_usable(const TargetView& target) const;
   void Prune();
@@ -179,15 +174,7 @@
     PrimaryRecord lease;
   };
   std::map<WorkNumber, AtPrimary> at_primary;
-  // Statements that were sent and not answered, by the number of the sending.
-  struct SentStatement {
-    std::shared_ptr<TargetView> target;
-    std::shared_ptr<TargetLink> link;
-    // Nothing is in doubt when its answer is lost.
-    bool is_repeatable = false;
-  };
-  std::map<uint64_t, SentStatement> sent_statements;
-  uint64_t next_sending = 1;
+  SentStatements sent_statements;
   WorkNumber next_number = 1;
   bool is_dispatching = false;
   bool has_more_to_dispatch = false;
--- a/Libraries/LibDispatch/open_transaction.cc
+++ b/Libraries/LibDispatch/open_transaction.cc
@@ -69,8 +69,10 @@
   this->is_running = true;
   const TimePoint sent_at = this->dispatcher.Now();
   const bool is_in_doubt_when_lost = is_commit && this->did_write;
-  const uint64_t sending = this->dispatcher.DidSend(this->target, this->link,
-                                                    !is_in_doubt_when_lost);
+  const uint64_t sending = this->dispatcher.sent().DidSend(
+      this->target, this->link,
+      is_in_doubt_when_lost ? SentStatements::Loss::kOutcome
+                            : SentStatements::Loss::kNothing);
   this->link->SendFor(
       record, std::move(command), this->route.statement_timeout,
       [dispatcher = &this->dispatcher, sending,
@@ -79,7 +81,7 @@
                std::optional<StatementAnswer> answer) {
              this->DidReceive(step, sent_at, std::move(answer), did_answer);
            })](std::optional<StatementAnswer> answer) {
-        dispatcher->DidEndSending(sending);
+        dispatcher->sent().DidEnd(sending);
         did_receive(std::move(answer));
       });
 }
