--- a/Libraries/LibEmulator/promise_checker.cc
+++ b/Libraries/LibEmulator/promise_checker.cc
@@ -43,8 +43,8 @@
   if (*run.values != sent.values)
     this->Break("PINNED", run.request_id + " ran with other session values");
   this->CheckFreshness(sent, run);
-  const std::string receipt = fmt::format("{}@{}#{}", run.request_id,
-                                          run.target.value, this->run_count);
+  std::string receipt = fmt::format("{}@{}#{}", run.request_id,
+                                    run.target.value, this->run_count);
   this->receipts_by_request[run.request_id].insert(receipt);
   return receipt;
 }
--- a/Libraries/LibRelay/relaying_store.cc
+++ b/Libraries/LibRelay/relaying_store.cc
@@ -57,7 +57,7 @@
   const std::vector<std::string> addresses = this->others();
   if (tries_left == 0 || addresses.empty())
     return did_change(std::move(own_error));
-  const std::string address =
+  const std::string& address =
       addresses.at(this->random.Below(addresses.size()));
   spdlog::info("event=change_through_other table={} other={} error=\"{}\"",
                table, address, own_error.message);
--- a/Libraries/LibWire/line_connection.cc
+++ b/Libraries/LibWire/line_connection.cc
@@ -52,13 +52,21 @@
   return true;
 }
 
+template <int kOption>
+void SetTcpOption(tcp::socket& socket, int value) {
+  using Option =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP, kOption>;
+  error_code ignored;
+  socket.set_option(Option(value), ignored);
+}
+
 void SetOptions(tcp::socket& socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  using UserTimeout =
-      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
-                                                  TCP_USER_TIMEOUT>;
-  socket.set_option(UserTimeout(kUnacknowledgedLimitMs), ignored);
+  SetTcpOption<TCP_USER_TIMEOUT>(socket, kUnacknowledgedLimitMs);
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  SetTcpOption<TCP_KEEPIDLE>(socket, kKeepAliveIdleSeconds);
+  SetTcpOption<TCP_KEEPINTVL>(socket, kKeepAliveIntervalSeconds);
 }
 
 }  // namespace
