--- a/Libraries/LibCoordination/coordination_view.cc
+++ b/Libraries/LibCoordination/coordination_view.cc
@@ -24,10 +24,14 @@
 }
 
 std::string CoordinationView::Encode(const MemberRecord& member) {
+  json groups = json::array();
+  for (const GroupName& group : member.home_of)
+    groups.push_back(group.value);
   return json{{"vm", member.vm.value},
               {"place", member.place.value},
               {"incarnation", member.incarnation},
-              {"gone", member.is_gone}}
+              {"gone", member.is_gone},
+              {"home_of", std::move(groups)}}
       .dump();
 }
 
@@ -74,6 +78,8 @@
     member.place.value = value.at("place");
     member.incarnation = value.at("incarnation");
     member.is_gone = value.at("gone");
+    for (const json& group : value.at("home_of"))
+      member.home_of.insert(GroupName{group.get<std::string>()});
     member.version = row.version;
     if (member.is_gone)
       this->gone_at_by_address.emplace(member.address, now);
--- a/Libraries/LibCoordination/coordination_view.h
+++ b/Libraries/LibCoordination/coordination_view.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,10 @@
   // It did not answer for so long that nobody waits for it; it must register
   // again before it may use a primary.
   bool is_gone = false;
+  // The groups whose primaries it may use: it has connections to their targets
+  // and serves other proxies too. Whoever replaces a primary waits for these
+  // members only.
+  std::set<GroupName> home_of;
   uint64_t version = 0;
 };
 
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -1,5 +1,7 @@
 #include "LibCoordination/failover_agent.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -37,8 +39,14 @@
 // A proxy that has not been heard for this long is marked as gone.
 constexpr Duration kGoneAfter = std::chrono::seconds(12);
 constexpr Duration kPingInterval = std::chrono::milliseconds(1000);
-// Proxies asked for a sign of life in each round, whatever their number.
-constexpr size_t kPingsPerRound = 3;
+// Each proxy watches this many others, so that it takes as many lost ones at
+// once for a lost proxy to stay unnoticed.
+constexpr size_t kWatchedMembers = 3;
+// Homes are asked in one round of so many; two rounds fit into kHeardLife.
+constexpr uint64_t kRoundsBetweenHomes = 2;
+// Proxies of other places that are asked in one round whether this one is cut
+// off; any answer tells.
+constexpr size_t kAskedOfOtherPlaces = 6;
 // After a planned change that was put off.
 constexpr Duration kPlannedRetry = std::chrono::milliseconds(1200);
 // A leaving primary that could not be replaced until now has to go, whatever
@@ -92,7 +100,8 @@
     return;
   }
   const auto since = this->triggered_at.try_emplace(group, now).first->second;
-  if (now < since + this->Rank() * kRankDelay || now < this->not_before[group])
+  if (now < since + this->Rank(group) * kRankDelay ||
+      now < this->not_before[group])
     return;
   if (!this->duty.is_held() && this->duty.is_taken_by_other())
     return;
@@ -102,7 +111,7 @@
 void FailoverAgent::CreateRecord(const GroupName& group) {
   const TimePoint now = this->context.scheduler.Now();
   TimePoint& tried_at = this->created_at[group];
-  if (now < tried_at + kCreateRetry + this->Rank() * kRankDelay)
+  if (now < tried_at + kCreateRetry + this->Rank(group) * kRankDelay)
     return;
   tried_at = now;
   GroupDispatcher* dispatcher = this->context.find_group(group);
@@ -192,15 +201,13 @@
   }
   if (now - suspicion.asked_at >= kAskInterval) {
     suspicion.asked_at = now;
-    this->AskMembers(record.group, suspicion);
+    this->AskHomes(record.group);
   }
-  size_t members = 0;
+  const std::vector<std::string> others = this->OtherHomes(record.group);
+  const size_t members = others.size() + 1;
   size_t lost = 1;
   size_t reached = 0;
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (member.is_gone)
-      continue;
-    ++members;
+  for (const std::string& address : others) {
     const auto answered_at = suspicion.answered_at.find(address);
     if (answered_at == suspicion.answered_at.end() ||
         now - answered_at->second > kWordLife)
@@ -225,14 +232,12 @@
   return now - suspicion.since > kAloneAfter;
 }
 
-void FailoverAgent::AskMembers(const GroupName& group, Suspicion&) {
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (address == this->context.self_address || member.is_gone)
-      continue;
+void FailoverAgent::AskHomes(const GroupName& group) {
+  for (const std::string& address : this->OtherHomes(group)) {
     this->context.peers.Ask(
         address, HealthQuery{group}, kAskTimeout,
         this->life.Wrap(
-            [this, group, address = address](std::optional<PeerAnswer> answer) {
+            [this, group, address](std::optional<PeerAnswer> answer) {
               const auto* health =
                   answer ? std::get_if<HealthAnswer>(&*answer) : nullptr;
               if (!health)
@@ -322,6 +327,10 @@
     const auto gone_at = this->context.view.gone_seen_at(address);
     if (!gone_at || now < *gone_at + 2 * this->context.lease_wait)
       continue;
+    // One member does it: the last before it in the ring.
+    const std::vector<std::string> followers = this->FollowersOf(address);
+    if (followers.empty() || followers.back() != this->context.self_address)
+      continue;
     const std::string key = CoordinationView::MemberKey(address);
     TableChange change;
     change.expected.push_back({key, member.version});
@@ -343,56 +352,84 @@
 }
 
 void FailoverAgent::AskOtherPlaces(const PlaceName& own_place) {
+  std::vector<std::string> others;
   for (const auto& [address, member] : this->context.view.members()) {
     if (member.place != own_place && !member.is_gone)
-      this->Ping(address);
+      others.push_back(address);
   }
+  const size_t count = std::min(kAskedOfOtherPlaces, others.size());
+  for (size_t asked = 0; asked < count; ++asked)
+    this->Ping(others[this->next_other_place++ % others.size()]);
 }
 
 void FailoverAgent::Ping(const std::string& address) {
-  this->context.peers.Ask(address, HealthQuery{}, kAskTimeout,
-                          this->life.Wrap([this, address](const auto& answer) {
-                            if (answer)
-                              this->DidHear(address);
-                          }));
+  this->context.peers.Ask(
+      address, HealthQuery{}, kAskTimeout,
+      this->life.Wrap([this, address](const auto& answer) {
+        if (answer && std::holds_alternative<HealthAnswer>(*answer))
+          this->DidHear(address);
+      }));
 }
 
-size_t FailoverAgent::Rank() const {
-  const TimePoint now = this->context.scheduler.Now();
+bool FailoverAgent::is_heard(const std::string& address) const {
+  const auto heard = this->heard_at.find(address);
+  return heard != this->heard_at.end() &&
+         this->context.scheduler.Now() - heard->second < kHeardLife;
+}
+
+std::vector<std::string> FailoverAgent::OtherHomes(
+    const GroupName& group) const {
+  std::vector<std::string> homes;
+  for (const auto& [address, member] : this->context.view.members()) {
+    if (address != this->context.self_address && !member.is_gone &&
+        member.home_of.contains(group))
+      homes.push_back(address);
+  }
+  return homes;
+}
+
+size_t FailoverAgent::Rank(const GroupName& group) const {
   // The last holder goes first, so that the duty does not change hands.
   const DutyRecord& duty = this->context.view.duty();
   if (duty.holder == this->context.self)
     return 0;
   size_t rank = 0;
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (address == this->context.self_address || member.is_gone)
-      continue;
-    const auto heard = this->heard_at.find(address);
-    const bool is_live =
-        heard != this->heard_at.end() && now - heard->second < kHeardLife;
-    if (!is_live)
+  for (const std::string& address : this->OtherHomes(group)) {
+    if (!this->is_heard(address))
       continue;
+    const auto& member = this->context.view.members().at(address);
     if (address < this->context.self_address || member.vm == duty.holder)
       ++rank;
   }
   return rank;
 }
 
-bool FailoverAgent::hears_most() const {
-  const TimePoint now = this->context.scheduler.Now();
-  size_t members = 0;
-  size_t heard = 0;
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (member.is_gone)
-      continue;
-    ++members;
-    const auto last = this->heard_at.find(address);
-    const bool is_self = address == this->context.self_address;
-    if (is_self ||
-        (last != this->heard_at.end() && now - last->second < kHeardLife))
-      ++heard;
+std::vector<std::string> FailoverAgent::FollowersOf(
+    const std::string& address) const {
+  using Place = std::pair<uint64_t, std::string>;
+  const auto place_of = [](const std::string& member) {
+    return Place(XXH64(member.data(), member.size(), 0), member);
+  };
+  std::vector<Place> ring;
+  for (const auto& [other, member] : this->context.view.members()) {
+    if (other != address && !member.is_gone)
+      ring.push_back(place_of(other));
   }
-  return 2 * heard > members;
+  std::sort(ring.begin(), ring.end());
+  const auto next =
+      std::upper_bound(ring.begin(), ring.end(), place_of(address));
+  std::rotate(ring.begin(), next, ring.end());
+  std::vector<std::string> followers;
+  for (auto& [hash, follower] : ring)
+    followers.push_back(std::move(follower));
+  return followers;
+}
+
+std::vector<std::string> FailoverAgent::Watched() const {
+  std::vector<std::string> watched =
+      this->FollowersOf(this->context.self_address);
+  watched.resize(std::min(watched.size(), kWatchedMembers));
+  return watched;
 }
 
 void FailoverAgent::PingMembers() {
@@ -400,25 +437,39 @@
   if (now - this->pinged_at < kPingInterval)
     return;
   this->pinged_at = now;
-  if (this->Rank() == 0 && this->hears_most())
-    this->ForgetGone();
-  std::vector<std::string> others;
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (address == this->context.self_address || member.is_gone)
-      continue;
-    others.push_back(address);
-    const TimePoint heard =
-        this->heard_at.try_emplace(address, now).first->second;
-    if (now - heard > kGoneAfter && this->Rank() == 0 && this->hears_most())
-      this->MarkGone(address);
+  const std::vector<std::string> watched = this->Watched();
+  this->MarkSilent(watched);
+  std::set<std::string> asked(watched.begin(), watched.end());
+  // Homes of the same groups are asked too, if less often: only the live have a
+  // place in the order of those that replace a primary.
+  if (this->ping_round++ % kRoundsBetweenHomes == 0) {
+    for (const GroupName& group : this->context.groups()) {
+      for (const std::string& address : this->OtherHomes(group))
+        asked.insert(address);
+    }
   }
+  // Silence counts from the first question after a time without any.
   std::erase_if(this->heard_at, [&](const auto& heard) {
-    return !this->context.view.members().contains(heard.first);
+    return !asked.contains(heard.first) && now - heard.second >= kHeardLife;
   });
-  const size_t pings = std::min(kPingsPerRound, others.size());
-  for (size_t count = 0; count < pings; ++count) {
-    this->Ping(others.at(this->next_ping++ % others.size()));
+  for (const std::string& address : asked)
+    this->Ping(address);
+}
+
+void FailoverAgent::MarkSilent(std::span<const std::string> watched) {
+  const TimePoint now = this->context.scheduler.Now();
+  // Who hears none of them is itself cut off.
+  const bool hears_any = std::any_of(
+      watched.begin(), watched.end(),
+      [this](const std::string& address) { return this->is_heard(address); });
+  for (const std::string& address : watched) {
+    const TimePoint heard =
+        this->heard_at.try_emplace(address, now).first->second;
+    if (hears_any && now - heard > kGoneAfter)
+      this->MarkGone(address);
   }
+  if (hears_any)
+    this->ForgetGone();
 }
 
 void FailoverAgent::Leave() {
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -37,7 +38,7 @@
     std::string self_address;
     std::string incarnation;
     Duration lease_wait;
-    // All groups of the configuration in force.
+    // The groups of which this proxy is a home.
     std::function<std::vector<GroupName>()> groups;
     std::function<GroupDispatcher*(const GroupName&)> find_group;
     // All known targets of a group.
@@ -58,7 +59,7 @@
   // When a member was last heard; zero time when never.
   TimePoint HeardAt(const std::string& address) const;
 
-  // Asks every member of another place for a sign of life.
+  // Asks some members of other places for a sign of life.
   void AskOtherPlaces(const PlaceName& own_place);
 
   // Starts nothing any more; ends what is under way.
@@ -87,7 +88,7 @@
                                      GroupDispatcher& dispatcher);
   bool do_members_agree(const PrimaryRecord& record,
                         GroupDispatcher& dispatcher);
-  void AskMembers(const GroupName& group, Suspicion& suspicion);
+  void AskHomes(const GroupName& group);
   void StartHandover(const PrimaryRecord& record,
                      GroupDispatcher& dispatcher,
                      Trigger trigger);
@@ -97,9 +98,19 @@
   void ForgetGone();
   void PingMembers();
   void Ping(const std::string& address);
-  // Whether most members were heard lately: who hears few is itself cut off.
-  bool hears_most() const;
-  size_t Rank() const;
+  // Marks those of `watched` that have been silent for too long.
+  void MarkSilent(std::span<const std::string> watched);
+  // The members that are not gone, in a ring by hash, from the one after
+  // `address` on.
+  std::vector<std::string> FollowersOf(const std::string& address) const;
+  // The members that this proxy watches: its next ones in the ring, so that the
+  // work of one proxy does not grow with their number.
+  std::vector<std::string> Watched() const;
+  // Other members that may use a group's primary.
+  std::vector<std::string> OtherHomes(const GroupName& group) const;
+  bool is_heard(const std::string& address) const;
+  // How many homes of the group come before this one.
+  size_t Rank(const GroupName& group) const;
   const PrimaryRecord* Find(const GroupName& group) const;
 
   Context context;
@@ -112,7 +123,8 @@
   std::map<GroupName, TimePoint> created_at;
   std::map<std::string, TimePoint> heard_at;
   TimePoint pinged_at{};
-  size_t next_ping = 0;
+  uint64_t ping_round = 0;
+  size_t next_other_place = 0;
   bool is_leaving = false;
   LifeGuard life;
 };
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -176,12 +176,20 @@
       }));
 }
 
+std::vector<std::string> Handover::Unstopped() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, member] : this->context.view.members()) {
+    if (address != this->context.self_address &&
+        member.home_of.contains(this->from.group) &&
+        !this->stopped.contains(address))
+      addresses.push_back(address);
+  }
+  return addresses;
+}
+
 bool Handover::has_everyone_stopped(TimePoint now) {
   bool is_everyone = this->context.stop_locally(this->from);
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (address == this->context.self_address ||
-        this->stopped.contains(address))
-      continue;
+  for (const std::string& address : this->Unstopped()) {
     const auto gone_at = this->context.view.gone_seen_at(address);
     if (gone_at && now >= *gone_at + this->context.lease_wait)
       continue;
@@ -212,9 +220,8 @@
     return this->Enter(Step::kStepDown);
   if (now >= this->closed_at + this->context.lease_wait) {
     this->context.stop_locally(this->from);
-    for (const auto& [address, member] : this->context.view.members()) {
-      if (address != this->context.self_address &&
-          !this->stopped.contains(address) && !member.is_gone)
+    for (const std::string& address : this->Unstopped()) {
+      if (!this->context.view.gone_seen_at(address))
         this->absent_members.insert(address);
     }
     return this->Enter(Step::kStepDown);
@@ -226,14 +233,10 @@
 }
 
 void Handover::AskMembers() {
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (address == this->context.self_address ||
-        this->stopped.contains(address))
-      continue;
+  for (const std::string& address : this->Unstopped()) {
     this->context.peers.Ask(
         address, CloseQuery{this->from}, kAskTimeout,
-        this->life.Wrap([this,
-                         address = address](std::optional<PeerAnswer> answer) {
+        this->life.Wrap([this, address](std::optional<PeerAnswer> answer) {
           const auto* closed =
               answer ? std::get_if<CloseAnswer>(&*answer) : nullptr;
           if (closed && closed->primary_heard_age < kHeardLately)
--- a/Libraries/LibCoordination/handover.h
+++ b/Libraries/LibCoordination/handover.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "LibCoordination/coordination_view.h"
 #include "LibCoordination/duty_lease.h"
@@ -100,6 +101,8 @@
   void TickVerify();
   void TickRecord(const PrimaryRecord& next);
   void AskMembers();
+  // Other members that may use the primary and have not said that they stopped.
+  std::vector<std::string> Unstopped() const;
   bool has_everyone_stopped(TimePoint now);
   void AskReport(const TargetName& target);
   void DidReport(const TargetName& target, const StatementAnswer& answer);
@@ -123,7 +126,6 @@
   // When a member last said that the primary answers it.
   TimePoint heard_alive_at{};
   std::set<std::string> absent_members;
-  std::set<TargetName> asked_targets;
   std::map<TargetName, TargetReport> reports;
   std::set<TargetName> excluded;
   std::optional<LogPoint> final_point;
--- a/Libraries/LibCoordination/member_registration.cc
+++ b/Libraries/LibCoordination/member_registration.cc
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace kingcupmill {
@@ -26,17 +28,43 @@
          row->second.incarnation == this->record.incarnation;
 }
 
+void MemberRegistration::SetHomeOf(std::set<GroupName> groups) {
+  if (groups == this->record.home_of)
+    return;
+  this->record.home_of = std::move(groups);
+  this->written_at = TimePoint{};
+}
+
+std::set<GroupName> MemberRegistration::registered_groups() const {
+  std::set<GroupName> groups;
+  if (!this->is_registered())
+    return groups;
+  const auto& shown = this->view.members().at(this->record.address).home_of;
+  std::set_intersection(
+      shown.begin(), shown.end(), this->record.home_of.begin(),
+      this->record.home_of.end(), std::inserter(groups, groups.end()));
+  return groups;
+}
+
 void MemberRegistration::Tick() {
   const TimePoint now = this->scheduler.Now();
-  if (this->is_leaving || this->is_registered() ||
-      now - this->written_at < kRetryInterval)
+  const auto row = this->view.members().find(this->record.address);
+  const bool is_shown =
+      this->is_registered() && row->second.home_of == this->record.home_of;
+  if (this->is_leaving || is_shown || now - this->written_at < kRetryInterval)
     return;
   this->written_at = now;
-  spdlog::info("event=register address={} incarnation={}", this->record.address,
-               this->record.incarnation);
+  spdlog::info("event=register address={} incarnation={} home_of={}",
+               this->record.address, this->record.incarnation,
+               this->record.home_of.size());
+  const std::string key = CoordinationView::MemberKey(this->record.address);
   TableChange change;
-  change.puts.push_back({CoordinationView::MemberKey(this->record.address),
-                         CoordinationView::Encode(this->record)});
+  // A write whose answer was lost may be performed after a later one; the
+  // condition keeps it from undoing that one.
+  const uint64_t version =
+      row == this->view.members().end() ? 0 : row->second.version;
+  change.expected.push_back({key, version});
+  change.puts.push_back({key, CoordinationView::Encode(this->record)});
   this->store.Change(CoordinationView::kTable, std::move(change),
                      [](const ValueOrError<ChangeOutcome>&) {
                        // The view shows whether it was applied.
--- a/Libraries/LibCoordination/member_registration.h
+++ b/Libraries/LibCoordination/member_registration.h
@@ -1,6 +1,8 @@
 #ifndef LIBCOORDINATION_MEMBER_REGISTRATION_H_
 #define LIBCOORDINATION_MEMBER_REGISTRATION_H_
 
+#include <set>
+
 #include "LibCoordination/coordination_view.h"
 #include "LibCore/life_guard.h"
 #include "LibCore/scheduler.h"
@@ -8,8 +10,8 @@
 
 namespace kingcupmill {
 
-// Keeps this proxy's row among the members, without which it may use no
-// primary.
+// Keeps this proxy's row among the members. It may use the primaries of the
+// groups that the row names, and no others.
 class MemberRegistration {
  public:
   MemberRegistration(Scheduler& scheduler,
@@ -17,7 +19,12 @@
                      const CoordinationView& view,
                      MemberRecord self);
 
-  // Writes the row when the view does not show it. Called at short intervals.
+  // Sets the groups whose primaries this proxy wants to use. The caller uses
+  // those that are no longer among them no more.
+  void SetHomeOf(std::set<GroupName> groups);
+
+  // Writes the row when the view shows another one. Called at short intervals,
+  // once the table has been read.
   void Tick();
 
   // Removes the row. The caller uses no primary any more.
@@ -26,6 +33,9 @@
   // Whether the view shows this start of the proxy as a member.
   bool is_registered() const;
 
+  // Returns the groups that are both wanted and shown by the view.
+  std::set<GroupName> registered_groups() const;
+
   const MemberRecord& self() const { return this->record; }
 
  private:
--- a/Libraries/LibDispatch/Forward.h
+++ b/Libraries/LibDispatch/Forward.h
@@ -5,7 +5,9 @@
 
 struct WorkOutcome;
 struct WorkRequest;
+class CallerTransaction;
 class EventJournal;
+class GroupAccess;
 class GroupDispatcher;
 class OpenTransaction;
 class SentStatements;
--- /dev/null
+++ b/Libraries/LibDispatch/caller_transaction.h
@@ -0,0 +1,35 @@
+#ifndef LIBDISPATCH_CALLER_TRANSACTION_H_
+#define LIBDISPATCH_CALLER_TRANSACTION_H_
+
+#include <functional>
+#include <optional>
+
+#include "LibCore/names.h"
+#include "LibLink/target_command.h"
+#include "LibStatement/session_record.h"
+#include "LibStatement/statement_answer.h"
+#include "LibStatement/transaction_step.h"
+
+namespace kingcupmill {
+
+// One caller's transaction, whichever proxy holds its connection. Destroying it
+// rolls back what was not committed.
+class CallerTransaction {
+ public:
+  using DidAnswer = std::function<void(StatementAnswer)>;
+
+  virtual ~CallerTransaction() = default;
+
+  // Runs one statement; one at a time.
+  virtual void Run(const SessionRecord& record,
+                   TargetCommand command,
+                   TransactionStep step,
+                   DidAnswer did_answer) = 0;
+
+  // Returns the position of the log after a commit that wrote.
+  virtual std::optional<LogPoint> committed_point() const = 0;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBDISPATCH_CALLER_TRANSACTION_H_
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -15,6 +15,7 @@
 #include "LibCore/scheduler.h"
 #include "LibDirectory/target_entry.h"
 #include "LibDispatch/Forward.h"
+#include "LibDispatch/group_access.h"
 #include "LibDispatch/sent_statements.h"
 #include "LibDispatch/work_request.h"
 #include "LibLink/target_channel.h"
@@ -28,28 +29,23 @@
 
 // Brings statements to the targets of one group: keeps the queue, chooses the
 // target, holds each answer against the lease on the primary.
-class GroupDispatcher {
+class GroupDispatcher final : public GroupAccess {
  public:
-  using WorkNumber = uint64_t;
-
   GroupDispatcher(Scheduler& scheduler,
                   TargetDialers dialers,
                   const PrimaryLeases& leases,
                   EventJournal& journal,
                   GroupName group,
                   PlaceName place);
-  ~GroupDispatcher();
+  ~GroupDispatcher() override;
 
   // Takes the group's targets and this proxy's share of the connections of one
   // target.
   void SetTargets(std::span<const TargetEntry> entries, size_t link_limit);
 
-  // Starts the work, or queues it. `did_finish` is called once, perhaps before
-  // this returns.
-  WorkNumber Submit(WorkRequest request, DidFinishWork did_finish);
-
-  // Drops work whose caller is gone. What has been sent runs on.
-  void Cancel(WorkNumber number);
+  // GroupAccess:
+  WorkNumber Submit(WorkRequest request, DidFinishWork did_finish) override;
+  void Cancel(WorkNumber number) override;
 
   // Is called when the leases have changed: ends transactions on a primary that
   // may no longer be used, and starts work that waited for one.
--- a/Libraries/LibDispatch/open_transaction.cc
+++ b/Libraries/LibDispatch/open_transaction.cc
@@ -50,9 +50,9 @@
 
 void OpenTransaction::Run(const SessionRecord& record,
                           TargetCommand command,
-                          Step step,
+                          TransactionStep step,
                           DidAnswer did_answer) {
-  const bool is_commit = step == Step::kCommit;
+  const bool is_commit = step == TransactionStep::kCommit;
   const SessionState after_failure =
       is_commit ? SessionState::kIdle : SessionState::kFailedTransaction;
   if (this->lease && !this->dispatcher.may_use(*this->lease)) {
@@ -64,7 +64,7 @@
   if (!this->link->is_open())
     return did_answer(Failed(StatementErrorCode::kAborted,
                              "the connection was lost", after_failure));
-  if (step == Step::kWrite)
+  if (step == TransactionStep::kWrite)
     this->did_write = true;
   this->is_running = true;
   const TimePoint sent_at = this->dispatcher.Now();
@@ -86,12 +86,12 @@
       });
 }
 
-void OpenTransaction::DidReceive(Step step,
+void OpenTransaction::DidReceive(TransactionStep step,
                                  TimePoint sent_at,
                                  std::optional<StatementAnswer> answer,
                                  const DidAnswer& did_answer) {
   this->is_running = false;
-  const bool is_commit = step == Step::kCommit;
+  const bool is_commit = step == TransactionStep::kCommit;
   const SessionState after_failure =
       is_commit ? SessionState::kIdle : SessionState::kFailedTransaction;
   if (!answer) {
--- a/Libraries/LibDispatch/open_transaction.h
+++ b/Libraries/LibDispatch/open_transaction.h
@@ -8,6 +8,7 @@
 #include "LibCore/life_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibDirectory/route_table.h"
+#include "LibDispatch/caller_transaction.h"
 #include "LibLink/target_link.h"
 #include "LibPrimary/primary_record.h"
 #include "LibStatement/session_record.h"
@@ -18,12 +19,9 @@
 class GroupDispatcher;
 class TargetView;
 
-// One caller's transaction on the connection that it holds. Destroying it rolls
-// back what was not committed.
-class OpenTransaction {
+// A transaction on a connection of this proxy, or on a borrowed one.
+class OpenTransaction final : public CallerTransaction {
  public:
-  using DidAnswer = std::function<void(StatementAnswer)>;
-
   // `lease` is the primary on which it runs; nothing for a read-only one that
   // any target may run.
   OpenTransaction(GroupDispatcher& dispatcher,
@@ -31,23 +29,21 @@
                   std::shared_ptr<TargetLink> link,
                   CallerRoute route,
                   std::optional<PrimaryRecord> lease);
-  ~OpenTransaction();
+  ~OpenTransaction() override;
   OpenTransaction(const OpenTransaction&) = delete;
   OpenTransaction& operator=(const OpenTransaction&) = delete;
 
-  enum class Step { kRead, kWrite, kCommit };
-
-  // Runs one statement; one at a time.
   void Run(const SessionRecord& record,
            TargetCommand command,
-           Step step,
-           DidAnswer did_answer);
+           TransactionStep step,
+           DidAnswer did_answer) override;
 
   // Whether the connection is gone, and everything with it rolled back.
   bool is_lost() const { return this->link->is_closed(); }
 
-  // The position of the log after a commit that wrote.
-  std::optional<LogPoint> committed_point() const { return this->committed; }
+  std::optional<LogPoint> committed_point() const override {
+    return this->committed;
+  }
 
   // Whether a write may have run in it.
   bool has_written() const { return this->did_write; }
@@ -63,7 +59,7 @@
   }
 
  private:
-  void DidReceive(Step step,
+  void DidReceive(TransactionStep step,
                   TimePoint sent_at,
                   std::optional<StatementAnswer> answer,
                   const DidAnswer& did_answer);
--- a/Libraries/LibDispatch/work_request.h
+++ b/Libraries/LibDispatch/work_request.h
@@ -9,6 +9,7 @@
 #include "LibCore/time.h"
 #include "LibDirectory/route_table.h"
 #include "LibDispatch/Forward.h"
+#include "LibDispatch/caller_transaction.h"
 #include "LibLink/target_command.h"
 #include "LibStatement/Forward.h"
 #include "LibStatement/statement_answer.h"
@@ -35,7 +36,7 @@
 struct WorkOutcome {
   StatementAnswer answer;
   // The transaction, when one was started.
-  std::unique_ptr<OpenTransaction> transaction;
+  std::unique_ptr<CallerTransaction> transaction;
 };
 
 using DidFinishWork = std::function<void(WorkOutcome)>;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -8,7 +8,6 @@
 
 #include "LibDispatch/open_transaction.h"
 #include "LibDispatch/target_view.h"
-#include "LibMembership/home_set.h"
 #include "LibStatement/error_names.h"
 
 namespace kingcupmill {
@@ -41,9 +40,6 @@
 constexpr Duration kAskOthersInterval = std::chrono::milliseconds(150);
 // Connections of a target that are kept for proxies that join or come back.
 constexpr int kReservedConnections = 2;
-// Where there are more proxies than connections, few proxies have this many
-// each and lend them, so that a borrower finds a free one at the first it asks.
-constexpr int kConnectionsOfHome = 3;
 // Entries of targets that lapsed with the store are back by then.
 constexpr Duration kDirectoryCertainAfter = std::chrono::milliseconds(3000);
 // New sessions stop coming about two seconds after the proxy says that it is
@@ -105,6 +101,8 @@
                    FollowOptions(std::string(CoordinationView::kTable)),
                    [this] { this->DidReadCoordination(); }),
       leases(kLeaseLength),
+      roles(this->options.peer_address),
+      home_chooser(this->options.place, this->options.random_seed + 3),
       relay_dialer(
           surroundings.scheduler,
           surroundings.peers,
@@ -115,6 +113,12 @@
       loan_desk(
           surroundings.scheduler,
           [this](const GroupName& group) { return this->FindGroup(group); }),
+      forward_desk(
+          surroundings.scheduler,
+          [this](const GroupName& group) -> GroupAccess* {
+            return this->draining_since ? nullptr : this->FindHome(group);
+          },
+          [this] { return this->transaction_idle_limit(); }),
       registration(surroundings.scheduler,
                    this->store,
                    this->view,
@@ -126,7 +130,7 @@
           kLeaseLength + kLeaseSlack,
           [this] {
             std::vector<GroupName> names;
-            for (const auto& [name, dispatcher] : this->dispatchers)
+            for (const GroupName& name : this->registration.registered_groups())
               names.push_back(name);
             return names;
           },
@@ -184,7 +188,27 @@
 
 GroupDispatcher* Gateway::FindGroup(const GroupName& group) {
   const auto found = this->dispatchers.find(group);
-  return found == this->dispatchers.end() ? nullptr : found->second.get();
+  return found == this->dispatchers.end() || !this->home_groups.contains(group)
+             ? nullptr
+             : found->second.get();
+}
+
+GroupDispatcher* Gateway::FindHome(const GroupName& group) {
+  return this->registration.registered_groups().contains(group)
+             ? this->FindGroup(group)
+             : nullptr;
+}
+
+GroupAccess* Gateway::FindAccess(const GroupName& group) {
+  if (GroupDispatcher* dispatcher = this->FindHome(group))
+    return dispatcher;
+  // A proxy that is about to be a home queues work only while there is no other
+  // home.
+  GroupDispatcher* dispatcher = this->FindGroup(group);
+  if (dispatcher && this->roles.HomesOf(group).empty())
+    return dispatcher;
+  const auto found = this->forwarding_groups.find(group);
+  return found == this->forwarding_groups.end() ? nullptr : found->second.get();
 }
 
 Duration Gateway::transaction_idle_limit() const {
@@ -238,9 +262,10 @@
 void Gateway::DidReadCoordination() {
   const TimePoint now = this->around.scheduler.Now();
   this->view.Update(this->coordination.rows(), now);
+  this->roles.DidReadMembers(this->view.members(), now);
+  this->UpdateRoles();
   this->leases.DidRead(this->view.primaries(), this->coordination.read_at(),
-                       this->registration.is_registered(), now);
-  this->registration.Tick();
+                       this->registration.registered_groups(), now);
   this->UpdateDispatchers();
   for (auto& [group, dispatcher] : this->dispatchers)
     dispatcher->DidChangeLeases();
@@ -255,27 +280,6 @@
   return entries;
 }
 
-std::vector<Member> Gateway::HomesOf(const GroupName& group) const {
-  std::vector<Member> members;
-  for (const auto& [address, record] : this->view.members()) {
-    if (!record.is_gone)
-      members.push_back(Member{record.vm, record.place, address});
-  }
-  const int capacity = this->SharedConnections(group);
-  if (capacity >= static_cast<int>(members.size()))
-    return members;
-  std::set<PlaceName> places;
-  for (const TargetEntry& target : this->TargetsOf(group))
-    places.insert(target.place);
-  const std::vector<VmName> chosen = ChooseHomes(
-      group, members, places,
-      static_cast<size_t>(std::max(capacity / kConnectionsOfHome, 1)));
-  std::erase_if(members, [&](const Member& member) {
-    return std::find(chosen.begin(), chosen.end(), member.vm) == chosen.end();
-  });
-  return members;
-}
-
 int Gateway::SharedConnections(const GroupName& group) const {
   const auto declared = this->routes->groups.find(group);
   if (declared == this->routes->groups.end())
@@ -287,34 +291,72 @@
 std::vector<RelayDialer::Lender> Gateway::LendersOf(
     const GroupName& group) const {
   std::vector<RelayDialer::Lender> lenders;
-  if (!this->routes)
-    return lenders;
-  for (const Member& home : this->HomesOf(group)) {
-    if (home.peer_address != this->options.peer_address)
-      lenders.push_back(RelayDialer::Lender{home.peer_address, home.place});
+  for (const Home& home : this->roles.HomesOf(group)) {
+    if (home.address != this->options.peer_address)
+      lenders.push_back(RelayDialer::Lender{home.address, home.place});
   }
   return lenders;
 }
 
 size_t Gateway::LinkLimit(const GroupName& group) const {
-  const std::vector<Member> homes = this->HomesOf(group);
-  // Before the members are known, one connection does no harm.
-  if (homes.empty())
-    return 1;
-  const bool is_home =
-      std::any_of(homes.begin(), homes.end(), [this](const Member& home) {
-        return home.peer_address == this->options.peer_address;
-      });
-  if (!is_home)
-    return 0;
+  const size_t homes = std::max<size_t>(this->roles.HomesOf(group).size(), 1);
   return std::max<size_t>(
-      static_cast<size_t>(this->SharedConnections(group)) / homes.size(), 1);
+      static_cast<size_t>(this->SharedConnections(group)) / homes, 1);
+}
+
+void Gateway::UpdateRoles() {
+  if (!this->routes || !this->coordination.version())
+    return;
+  std::vector<HomeRoles::Group> groups;
+  for (const auto& [name, declaration] : this->routes->groups) {
+    HomeRoles::Group group{name, this->SharedConnections(name), {}};
+    for (const auto& [target, entry] : this->directory.targets()) {
+      if (entry.group == name)
+        group.places.insert(entry.place);
+    }
+    groups.push_back(std::move(group));
+  }
+  std::set<GroupName> chosen =
+      this->roles.Choose(groups, this->around.scheduler.Now());
+  for (const GroupName& group : this->home_groups) {
+    if (chosen.contains(group))
+      continue;
+    // The lease ends before the row says that nobody has to wait for it.
+    spdlog::info("event=home_role_ended group={}", group.value);
+    this->leases.Stop(group);
+    this->dispatchers.at(group)->DidChangeLeases();
+    this->dispatchers.at(group)->SetTargets({}, 0);
+  }
+  const bool is_changed = chosen != this->home_groups;
+  this->home_groups = std::move(chosen);
+  this->registration.SetHomeOf(this->home_groups);
+  this->registration.Tick();
+  if (is_changed) {
+    spdlog::info("event=home_roles count={} of={}", this->home_groups.size(),
+                 this->routes->groups.size());
+    this->UpdateDispatchers();
+  }
 }
 
 void Gateway::UpdateDispatchers() {
   if (!this->routes)
     return;
   for (const auto& [group, declaration] : this->routes->groups) {
+    auto& forwarding = this->forwarding_groups[group];
+    if (!forwarding)
+      forwarding = std::make_unique<ForwardingGroup>(ForwardingGroup::Context{
+          this->around.scheduler, this->around.peers, this->journal,
+          this->home_chooser, group,
+          [this, group] {
+            std::vector<Home> homes = this->roles.HomesOf(group);
+            std::erase_if(homes, [this](const Home& home) {
+              return home.address == this->options.peer_address;
+            });
+            return homes;
+          },
+          this->options.incarnation + "." + group.value});
+    if (!this->home_groups.contains(group))
+      continue;
     auto& dispatcher = this->dispatchers[group];
     if (!dispatcher)
       dispatcher = std::make_unique<GroupDispatcher>(
@@ -326,9 +368,9 @@
 }
 
 void Gateway::Tick() {
-  this->registration.Tick();
-  for (auto& [group, dispatcher] : this->dispatchers)
-    dispatcher->Tick();
+  this->UpdateRoles();
+  for (const GroupName& group : this->home_groups)
+    this->dispatchers.at(group)->Tick();
   this->failover.Tick();
   this->AskForCopies();
   this->TickIsolation();
@@ -450,7 +492,7 @@
 
 bool Gateway::StopPrimary(const PrimaryRecord& record) {
   const TimePoint now = this->around.scheduler.Now();
-  this->leases.DidRead(std::span<const PrimaryRecord>(&record, 1), now, false,
+  this->leases.DidRead(std::span<const PrimaryRecord>(&record, 1), now, {},
                        now);
   GroupDispatcher* dispatcher = this->FindGroup(record.group);
   if (!dispatcher)
@@ -477,6 +519,8 @@
 HealthAnswer Gateway::HandleHealth(const HealthQuery& query) {
   HealthAnswer answer;
   answer.incarnation = this->options.incarnation;
+  // A proxy that is no home asks no primary, so it has heard none.
+  answer.primary_heard_age = Duration::max();
   if (GroupDispatcher* dispatcher = this->FindGroup(query.group)) {
     answer.primary_silence = dispatcher->PrimarySilence();
     answer.primary_heard_age = dispatcher->PrimaryHeardAge();
@@ -497,6 +541,12 @@
     return this->loan_desk.Handle(*relay, answer);
   if (const auto* returned = std::get_if<ReturnQuery>(&query))
     return this->loan_desk.Handle(*returned, answer);
+  if (const auto* forward = std::get_if<ForwardQuery>(&query))
+    return this->forward_desk.Handle(*forward, answer);
+  if (const auto* next = std::get_if<ContinueQuery>(&query))
+    return this->forward_desk.Handle(*next, answer);
+  if (const auto* end = std::get_if<EndQuery>(&query))
+    return this->forward_desk.Handle(*end, answer);
   if (const auto* change = std::get_if<ChangeQuery>(&query))
     return this->store.Handle(*change, answer);
   answer(this->HandleHealth(std::get<HealthQuery>(query)));
@@ -515,9 +565,9 @@
   const TimePoint now = this->around.scheduler.Now();
   IsolationWatch::Sight sight;
   sight.heard_age = Duration::max();
-  for (const auto& [group, dispatcher] : this->dispatchers) {
+  for (const GroupName& group : this->home_groups) {
     ++sight.groups;
-    if (dispatcher->PrimarySilence() > kIsolatedSilence)
+    if (this->dispatchers.at(group)->PrimarySilence() > kIsolatedSilence)
       ++sight.silent_groups;
   }
   for (const auto& [address, member] : this->view.members()) {
@@ -570,6 +620,7 @@
   if (elapsed >= this->options.drain_limit / 2) {
     for (const auto& [session, channel] : this->sessions)
       session->AbortTransaction("the proxy is shutting down");
+    this->forward_desk.EndIdle();
   }
   this->CloseSessionsAtRest();
   const bool is_over = elapsed >= this->options.drain_limit - kDrainReserve;
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -22,10 +22,13 @@
 #include "LibDispatch/event_journal.h"
 #include "LibGateway/gateway_metrics.h"
 #include "LibGateway/gateway_session.h"
+#include "LibGateway/home_roles.h"
 #include "LibGateway/isolation_watch.h"
-#include "LibMembership/member.h"
 #include "LibPeer/peer_links.h"
 #include "LibPrimary/primary_leases.h"
+#include "LibRelay/forward_desk.h"
+#include "LibRelay/forwarding_group.h"
+#include "LibRelay/home_chooser.h"
 #include "LibRelay/loan_desk.h"
 #include "LibRelay/relay_dialer.h"
 #include "LibRelay/relaying_store.h"
@@ -89,7 +92,7 @@
 
   // SessionHost:
   const CallerRoute* FindRoute(std::string_view database) const override;
-  GroupDispatcher* FindGroup(const GroupName& group) override;
+  GroupAccess* FindAccess(const GroupName& group) override;
   Duration transaction_idle_limit() const override;
   void DidAnswerCaller(const CallerStatement& statement,
                        const StatementAnswer& answer,
@@ -99,12 +102,23 @@
   const PrimaryLeases& primary_leases() const { return this->leases; }
   const CoordinationView& coordination_view() const { return this->view; }
   Revision revision() const;
+  size_t home_count() const {
+    return this->registration.registered_groups().size();
+  }
 
  private:
   void DidReadConfiguration();
   void DidReadTargets();
   void DidReadCoordination();
+  // Chooses the groups of which this proxy is a home, and registers them.
+  void UpdateRoles();
   void UpdateDispatchers();
+  // Returns the dispatcher of a group of which this proxy is or will be a home,
+  // or null.
+  GroupDispatcher* FindGroup(const GroupName& group);
+  // Returns the dispatcher of a group of which this proxy is a registered home
+  // and stays one, or null.
+  GroupDispatcher* FindHome(const GroupName& group);
   void Tick();
   // The addresses of the other members that are not gone.
   std::vector<std::string> OtherMembers() const;
@@ -114,8 +128,6 @@
   bool StopPrimary(const PrimaryRecord& record);
   CloseAnswer HandleClose(const CloseQuery& query);
   HealthAnswer HandleHealth(const HealthQuery& query);
-  // Proxies that have connections of their own to the targets of a group.
-  std::vector<Member> HomesOf(const GroupName& group) const;
   std::vector<RelayDialer::Lender> LendersOf(const GroupName& group) const;
   std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
   // Connections of one target of a group that all proxies may have together.
@@ -139,9 +151,15 @@
   PrimaryLeases leases;
   TargetDirectory directory;
   std::optional<RouteTable> routes;
+  HomeRoles roles;
+  // The groups of which this proxy is or will be a home.
+  std::set<GroupName> home_groups;
   std::map<GroupName, std::unique_ptr<GroupDispatcher>> dispatchers;
+  HomeChooser home_chooser;
+  std::map<GroupName, std::unique_ptr<ForwardingGroup>> forwarding_groups;
   RelayDialer relay_dialer;
   LoanDesk loan_desk;
+  ForwardDesk forward_desk;
   MemberRegistration registration;
   FailoverAgent failover;
   std::map<GatewaySession*, CallerChannel*> sessions;
--- a/Libraries/LibGateway/gateway_session.cc
+++ b/Libraries/LibGateway/gateway_session.cc
@@ -196,7 +196,7 @@
   const CallerRoute* route = this->UsableRoute();
   if (!route)
     return;
-  GroupDispatcher* group = this->host.FindGroup(route->group);
+  GroupAccess* group = this->host.FindAccess(route->group);
   if (!group)
     return this->AnswerError(StatementErrorCode::kBusy, "no targets");
   WorkRequest request;
@@ -235,7 +235,7 @@
   const CallerRoute* route = this->UsableRoute();
   if (!route)
     return;
-  GroupDispatcher* group = this->host.FindGroup(route->group);
+  GroupAccess* group = this->host.FindAccess(route->group);
   if (!group) {
     this->EndTransaction();
     return this->AnswerError(StatementErrorCode::kBusy, "no targets");
@@ -284,9 +284,9 @@
 void GatewaySession::RunInTransaction(const CallerStatement& statement) {
   const auto access = this->AccessOf(statement);
   const auto step =
-      statement.kind == StatementKind::kCommit ? OpenTransaction::Step::kCommit
-      : access == StatementAccess::kWrite      ? OpenTransaction::Step::kWrite
-                                               : OpenTransaction::Step::kRead;
+      statement.kind == StatementKind::kCommit ? TransactionStep::kCommit
+      : access == StatementAccess::kWrite      ? TransactionStep::kWrite
+                                               : TransactionStep::kRead;
   this->transaction->Run(*this->record, this->CommandFor(statement), step,
                          this->life.Wrap([this, step](StatementAnswer answer) {
                            this->DidFinishInTransaction(step,
@@ -294,9 +294,9 @@
                          }));
 }
 
-void GatewaySession::DidFinishInTransaction(OpenTransaction::Step step,
+void GatewaySession::DidFinishInTransaction(TransactionStep step,
                                             StatementAnswer answer) {
-  if (step == OpenTransaction::Step::kCommit) {
+  if (step == TransactionStep::kCommit) {
     if (!answer.error && this->transaction->committed_point())
       this->last_commit = this->transaction->committed_point();
     // A commit that failed leaves nothing open: what is left is rolled back.
--- a/Libraries/LibGateway/gateway_session.h
+++ b/Libraries/LibGateway/gateway_session.h
@@ -11,8 +11,8 @@
 #include "LibCore/names.h"
 #include "LibCore/scheduler.h"
 #include "LibDirectory/route_table.h"
-#include "LibDispatch/group_dispatcher.h"
-#include "LibDispatch/open_transaction.h"
+#include "LibDispatch/caller_transaction.h"
+#include "LibDispatch/group_access.h"
 #include "LibGateway/caller_channel.h"
 #include "LibStatement/caller_statement.h"
 #include "LibStatement/session_record.h"
@@ -25,7 +25,8 @@
   virtual ~SessionHost() = default;
   // Returns the newest route of a database, or null.
   virtual const CallerRoute* FindRoute(std::string_view database) const = 0;
-  virtual GroupDispatcher* FindGroup(const GroupName& group) = 0;
+  // Returns the way to a group, or null while there is none.
+  virtual GroupAccess* FindAccess(const GroupName& group) = 0;
   virtual Duration transaction_idle_limit() const = 0;
   virtual void DidAnswerCaller(const CallerStatement& statement,
                                const StatementAnswer& answer,
@@ -64,8 +65,7 @@
   void DidFinishSingle(WorkOutcome outcome);
   void DidStartTransaction(const CallerStatement& statement,
                            WorkOutcome outcome);
-  void DidFinishInTransaction(OpenTransaction::Step step,
-                              StatementAnswer answer);
+  void DidFinishInTransaction(TransactionStep step, StatementAnswer answer);
   std::optional<StatementAccess> AccessOf(
       const CallerStatement& statement) const;
   TargetCommand CommandFor(const CallerStatement& statement) const;
@@ -85,15 +85,15 @@
   SessionState state = SessionState::kIdle;
   // The transaction is read-only, by the caller's word.
   bool is_read_only = false;
-  std::unique_ptr<OpenTransaction> transaction;
+  std::unique_ptr<CallerTransaction> transaction;
   // The reason why a transaction was ended before the caller knows.
   std::optional<std::string> abort_reason;
   std::optional<LogPoint> last_commit;
   std::deque<CallerStatement> waiting;
   std::optional<CallerStatement> current;
   TimePoint received_at{};
-  GroupDispatcher* work_group = nullptr;
-  GroupDispatcher::WorkNumber work_number = 0;
+  GroupAccess* work_group = nullptr;
+  GroupAccess::WorkNumber work_number = 0;
   Scheduler::TimerId idle_timer = 0;
   LifeGuard life;
 };
--- a/Libraries/LibMembership/home_set.cc
+++ b/Libraries/LibMembership/home_set.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace kingcupmill {
 
@@ -18,23 +19,23 @@
 // member is live.
 std::vector<const Member*> RankMembers(const GroupName& group,
                                        std::span<const Member> members) {
-  std::vector<const Member*> ranked;
+  const bool has_live = std::any_of(
+      members.begin(), members.end(),
+      [](const Member& member) { return member.state == VmState::kLive; });
+  std::vector<std::pair<uint64_t, const Member*>> scored;
   for (const Member& member : members) {
-    if (member.state == VmState::kLive)
-      ranked.push_back(&member);
-  }
-  if (ranked.empty()) {
-    for (const Member& member : members)
-      ranked.push_back(&member);
+    if (!has_live || member.state == VmState::kLive)
+      scored.emplace_back(ScoreOf(group, member.vm), &member);
   }
-  std::sort(ranked.begin(), ranked.end(),
-            [&](const Member* left, const Member* right) {
-              const uint64_t left_score = ScoreOf(group, left->vm);
-              const uint64_t right_score = ScoreOf(group, right->vm);
-              if (left_score != right_score)
-                return left_score > right_score;
-              return left->vm < right->vm;
+  std::sort(scored.begin(), scored.end(),
+            [](const auto& left, const auto& right) {
+              if (left.first != right.first)
+                return left.first > right.first;
+              return left.second->vm < right.second->vm;
             });
+  std::vector<const Member*> ranked;
+  for (const auto& [score, member] : scored)
+    ranked.push_back(member);
   return ranked;
 }
 
--- a/Libraries/LibPeer/Forward.h
+++ b/Libraries/LibPeer/Forward.h
@@ -7,6 +7,8 @@
 struct CloseQuery;
 struct CopyAnswer;
 struct CopyQuery;
+struct ForwardAnswer;
+struct ForwardQuery;
 struct HealthAnswer;
 struct HealthQuery;
 class PeerLinks;
--- /dev/null
+++ b/Libraries/LibPeer/peer_json.cc
@@ -0,0 +1,76 @@
+#include "LibPeer/peer_json.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kingcupmill {
+
+using nlohmann::json;
+
+json ToJson(const std::optional<LogPoint>& point) {
+  if (!point)
+    return nullptr;
+  return json::array({point->term.value, point->position.value});
+}
+
+std::optional<LogPoint> PointFromJson(const json& value) {
+  if (value.is_null())
+    return std::nullopt;
+  return LogPoint{Term{value.at(0).get<uint64_t>()},
+                  Position{value.at(1).get<uint64_t>()}};
+}
+
+json ToJson(const TargetCommand& command) {
+  return json::array({static_cast<int>(command.kind), command.request_id,
+                      ToJson(command.required_position), command.text,
+                      command.name, command.value,
+                      static_cast<int>(command.shape.access),
+                      command.shape.shape, command.term.value});
+}
+
+TargetCommand CommandFromJson(const json& value) {
+  TargetCommand command;
+  command.kind = EnumFromJson(value.at(0), TargetCommandKind::kStepDown);
+  command.request_id = value.at(1);
+  command.required_position = PointFromJson(value.at(2));
+  command.text = value.at(3);
+  command.name = value.at(4);
+  command.value = value.at(5);
+  command.shape.access = EnumFromJson(value.at(6), StatementAccess::kWrite);
+  command.shape.shape = value.at(7);
+  command.term.value = value.at(8);
+  return command;
+}
+
+json ToJson(const StatementAnswer& answer) {
+  json error = nullptr;
+  if (answer.error)
+    error = json::array(
+        {static_cast<int>(answer.error->code), answer.error->message});
+  json report = nullptr;
+  if (answer.report)
+    report = json::array({answer.report->is_primary, answer.report->term.value,
+                          ToJson(answer.report->received)});
+  return json::array({answer.rows, answer.receipt, std::move(error),
+                      static_cast<int>(answer.state), ToJson(answer.position),
+                      std::move(report)});
+}
+
+StatementAnswer StatementAnswerFromJson(const json& value) {
+  StatementAnswer answer;
+  answer.rows = value.at(0).get<std::vector<std::string>>();
+  answer.receipt = value.at(1);
+  if (const json& error = value.at(2); !error.is_null())
+    answer.error = StatementError{
+        EnumFromJson(error.at(0), StatementErrorCode::kOther), error.at(1)};
+  answer.state = EnumFromJson(value.at(3), SessionState::kFailedTransaction);
+  answer.position = PointFromJson(value.at(4));
+  if (const json& report = value.at(5); !report.is_null())
+    answer.report =
+        TargetReport{report.at(0), Term{report.at(1).get<uint64_t>()},
+                     PointFromJson(report.at(2)).value_or(LogPoint{})};
+  return answer;
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibPeer/peer_links.h
+++ b/Libraries/LibPeer/peer_links.h
@@ -13,7 +13,8 @@
 // Questions to other proxies.
 class PeerLinks {
  public:
-  // The answer, or nothing when none came in time.
+  // The answer, or nothing when none came in time; NotSent when the question
+  // did not leave this proxy.
   using DidAnswer = std::function<void(std::optional<PeerAnswer>)>;
   using Answer = std::function<void(const PeerAnswer&)>;
   using HandleQuery = std::function<void(const PeerQuery&, Answer)>;
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -3,6 +3,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "LibCore/verify.h"
+#include "LibPeer/peer_json.h"
+
 namespace kingcupmill {
 
 using nlohmann::json;
@@ -24,80 +27,12 @@
 constexpr int kReturnAnswer = 12;
 constexpr int kChangeQuery = 13;
 constexpr int kChangeAnswer = 14;
-
-json ToJson(const std::optional<LogPoint>& point) {
-  if (!point)
-    return nullptr;
-  return json::array({point->term.value, point->position.value});
-}
-
-std::optional<LogPoint> PointFromJson(const json& value) {
-  if (value.is_null())
-    return std::nullopt;
-  return LogPoint{Term{value.at(0).get<uint64_t>()},
-                  Position{value.at(1).get<uint64_t>()}};
-}
-
-json ToJson(const TargetCommand& command) {
-  return json::array({static_cast<int>(command.kind), command.request_id,
-                      ToJson(command.required_position), command.text,
-                      command.name, command.value,
-                      static_cast<int>(command.shape.access),
-                      command.shape.shape, command.term.value});
-}
-
-// Fails on a number that is no value of an enum whose last value is `last`.
-template <typename Enum>
-Enum EnumFromJson(const json& value, Enum last) {
-  const int number = value.get<int>();
-  if (number < 0 || number > static_cast<int>(last))
-    throw json::other_error::create(501, "unknown value", &value);
-  return static_cast<Enum>(number);
-}
-
-TargetCommand CommandFromJson(const json& value) {
-  TargetCommand command;
-  command.kind = EnumFromJson(value.at(0), TargetCommandKind::kStepDown);
-  command.request_id = value.at(1);
-  command.required_position = PointFromJson(value.at(2));
-  command.text = value.at(3);
-  command.name = value.at(4);
-  command.value = value.at(5);
-  command.shape.access = EnumFromJson(value.at(6), StatementAccess::kWrite);
-  command.shape.shape = value.at(7);
-  command.term.value = value.at(8);
-  return command;
-}
-
-json ToJson(const StatementAnswer& answer) {
-  json error = nullptr;
-  if (answer.error)
-    error = json::array(
-        {static_cast<int>(answer.error->code), answer.error->message});
-  json report = nullptr;
-  if (answer.report)
-    report = json::array({answer.report->is_primary, answer.report->term.value,
-                          ToJson(answer.report->received)});
-  return json::array({answer.rows, answer.receipt, std::move(error),
-                      static_cast<int>(answer.state), ToJson(answer.position),
-                      std::move(report)});
-}
-
-StatementAnswer StatementAnswerFromJson(const json& value) {
-  StatementAnswer answer;
-  answer.rows = value.at(0).get<std::vector<std::string>>();
-  answer.receipt = value.at(1);
-  if (const json& error = value.at(2); !error.is_null())
-    answer.error = StatementError{
-        EnumFromJson(error.at(0), StatementErrorCode::kOther), error.at(1)};
-  answer.state = EnumFromJson(value.at(3), SessionState::kFailedTransaction);
-  answer.position = PointFromJson(value.at(4));
-  if (const json& report = value.at(5); !report.is_null())
-    answer.report =
-        TargetReport{report.at(0), Term{report.at(1).get<uint64_t>()},
-                     PointFromJson(report.at(2)).value_or(LogPoint{})};
-  return answer;
-}
+constexpr int kForwardQuery = 15;
+constexpr int kForwardAnswer = 16;
+constexpr int kContinueQuery = 17;
+constexpr int kContinueAnswer = 18;
+constexpr int kEndQuery = 19;
+constexpr int kEndAnswer = 20;
 
 json ToJson(const TableCopy& copy) {
   json rows = nullptr;
@@ -190,6 +125,27 @@
                        proof.position.position.value, proof.age.count()}));
     return json::array({kCopyAnswer, std::move(tables), std::move(proofs)});
   }
+  json operator()(const ForwardQuery& query) const {
+    return json::array({kForwardQuery, ToJson(query)});
+  }
+  json operator()(const ForwardAnswer& answer) const {
+    return json::array({kForwardAnswer, ToJson(answer)});
+  }
+  json operator()(const ContinueQuery& query) const {
+    return json::array({kContinueQuery, ToJson(query)});
+  }
+  json operator()(const ContinueAnswer& answer) const {
+    return json::array({kContinueAnswer, ToJson(answer)});
+  }
+  json operator()(const EndQuery& query) const {
+    return json::array({kEndQuery, query.name});
+  }
+  json operator()(const EndAnswer&) const { return json::array({kEndAnswer}); }
+  json operator()(const NotSent&) const {
+    // Made where the question was asked; it never travels.
+    KINGCUPMILL_VERIFY(false);
+    return nullptr;
+  }
   json operator()(const CloseAnswer& answer) const {
     return json::array(
         {kCloseAnswer, answer.has_stopped, answer.primary_heard_age.count()});
@@ -299,6 +255,18 @@
       return NumberedAnswer{number, RelayAnswerFrom(body)};
     case kReturnAnswer:
       return NumberedAnswer{number, ReturnAnswer{}};
+    case kForwardQuery:
+      return NumberedQuery{number, ForwardQueryFromJson(body.at(1))};
+    case kForwardAnswer:
+      return NumberedAnswer{number, ForwardAnswerFromJson(body.at(1))};
+    case kContinueQuery:
+      return NumberedQuery{number, ContinueQueryFromJson(body.at(1))};
+    case kContinueAnswer:
+      return NumberedAnswer{number, ContinueAnswerFromJson(body.at(1))};
+    case kEndQuery:
+      return NumberedQuery{number, EndQuery{body.at(1)}};
+    case kEndAnswer:
+      return NumberedAnswer{number, EndAnswer{}};
     case kHealthAnswer:
       return NumberedAnswer{number, HealthAnswerFrom(body)};
     default:
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -12,6 +12,7 @@
 #include "LibCore/names.h"
 #include "LibCore/time.h"
 #include "LibLink/target_command.h"
+#include "LibPeer/forward_query.h"
 #include "LibPrimary/primary_record.h"
 #include "LibStatement/statement_answer.h"
 #include "LibTables/row_store.h"
@@ -125,20 +126,31 @@
   uint64_t version = 0;
 };
 
+// The question did not leave this proxy: the peer could not be reached. Never
+// on the wire.
+struct NotSent {};
+
 using PeerQuery = std::variant<CopyQuery,
                                CloseQuery,
                                HealthQuery,
                                BorrowQuery,
                                RelayQuery,
                                ReturnQuery,
-                               ChangeQuery>;
+                               ChangeQuery,
+                               ForwardQuery,
+                               ContinueQuery,
+                               EndQuery>;
 using PeerAnswer = std::variant<CopyAnswer,
                                 CloseAnswer,
                                 HealthAnswer,
                                 BorrowAnswer,
                                 RelayAnswer,
                                 ReturnAnswer,
-                                ChangeAnswer>;
+                                ChangeAnswer,
+                                ForwardAnswer,
+                                ContinueAnswer,
+                                EndAnswer,
+                                NotSent>;
 
 // Encodes a numbered query or answer as CBOR.
 std::vector<uint8_t> EncodeQuery(uint64_t number, const PeerQuery& query);
--- a/Libraries/LibPeer/socket_peer_links.cc
+++ b/Libraries/LibPeer/socket_peer_links.cc
@@ -81,9 +81,13 @@
     return;
   if (dropped.mapped().socket)
     dropped.mapped().socket->Abort();
+  // What waited for the link to open has not left this proxy.
+  const std::optional<PeerAnswer> outcome =
+      dropped.mapped().is_open ? std::nullopt
+                               : std::optional<PeerAnswer>(NotSent{});
   for (auto& [number, pending] : dropped.mapped().pending) {
     this->loop.Cancel(pending.timer);
-    pending.did_answer(std::nullopt);
+    pending.did_answer(outcome);
   }
 }
 
--- a/Libraries/LibPrimary/primary_leases.cc
+++ b/Libraries/LibPrimary/primary_leases.cc
@@ -14,7 +14,7 @@
 
 void PrimaryLeases::DidRead(std::span<const PrimaryRecord> records,
                             TimePoint sent_at,
-                            bool is_registered,
+                            const std::set<GroupName>& registered_groups,
                             TimePoint now) {
   for (const PrimaryRecord& record : records) {
     PrimaryRecord& known = this->record_by_group[record.group];
@@ -32,7 +32,7 @@
         this->end_by_group.erase(record.group);
       known = record;
     }
-    const bool gives_lease = is_registered &&
+    const bool gives_lease = registered_groups.contains(record.group) &&
                              record.state == PrimaryState::kServing &&
                              sent_at >= this->earliest_read;
     if (!gives_lease)
--- a/Libraries/LibPrimary/primary_leases.h
+++ b/Libraries/LibPrimary/primary_leases.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 
 #include "LibCore/names.h"
@@ -25,11 +26,11 @@
   explicit PrimaryLeases(Duration length) : length(length) {}
 
   // Takes what a read that was sent at `sent_at` and answered by `now` showed.
-  // Without `is_registered` the store does not count this proxy among the
-  // holders of leases, so it gets none.
+  // The store counts this proxy among the holders of leases on the primaries of
+  // `registered_groups`, so it gets none on others.
   void DidRead(std::span<const PrimaryRecord> records,
                TimePoint sent_at,
-               bool is_registered,
+               const std::set<GroupName>& registered_groups,
                TimePoint now);
 
   // Gives up what is left of the lease on a primary that is being replaced.
--- a/Libraries/LibPrimary/primary_leases_test.cc
+++ b/Libraries/LibPrimary/primary_leases_test.cc
@@ -34,7 +34,7 @@
 void Read(PrimaryLeases& leases,
           const PrimaryRecord& record,
           TimePoint sent_at) {
-  leases.DidRead(std::span<const PrimaryRecord>(&record, 1), sent_at, true,
+  leases.DidRead(std::span<const PrimaryRecord>(&record, 1), sent_at, {kGroup},
                  sent_at + milliseconds(5));
 }
 
@@ -48,10 +48,10 @@
     CHECK_FALSE(leases.ValidAt(kGroup, start).has_value());
   }
 
-  SUBCASE("a proxy that is not a member gets none") {
+  SUBCASE("a proxy that is not registered for the group gets none") {
     const PrimaryRecord record = Serving(3);
-    leases.DidRead(std::span<const PrimaryRecord>(&record, 1), start, false,
-                   start);
+    leases.DidRead(std::span<const PrimaryRecord>(&record, 1), start,
+                   {GroupName{"cards"}}, start);
     CHECK_FALSE(leases.ValidAt(kGroup, start).has_value());
     CHECK(leases.Find(kGroup) != nullptr);
   }
--- a/Libraries/LibRelay/Forward.h
+++ b/Libraries/LibRelay/Forward.h
@@ -3,6 +3,10 @@
 
 namespace kingcupmill {
 
+struct Home;
+class ForwardDesk;
+class ForwardingGroup;
+class HomeChooser;
 class LoanDesk;
 class RelayDialer;
 class RelayingStore;
--- /dev/null
+++ b/Libraries/LibRelay/forward_desk.cc
@@ -0,0 +1,156 @@
+#include "LibRelay/forward_desk.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "LibDispatch/work_request.h"
+
+namespace kingcupmill {
+
+namespace {
+
+// The asker ends an idle transaction at the limit of the configuration; this is
+// for the way of its word.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(400);
+
+}  // namespace
+
+struct ForwardDesk::Held {
+  std::unique_ptr<CallerTransaction> transaction;
+  uint64_t next_sequence = 0;
+  Scheduler::TimerId timer = 0;
+  bool is_running = false;
+};
+
+ForwardDesk::ForwardDesk(Scheduler& scheduler,
+                         FindHome find_home,
+                         IdleLimit idle_limit)
+    : scheduler(scheduler),
+      find_home(std::move(find_home)),
+      idle_limit(std::move(idle_limit)) {}
+
+ForwardDesk::~ForwardDesk() = default;
+
+void ForwardDesk::Handle(const ForwardQuery& query,
+                         const PeerLinks::Answer& answer) {
+  GroupAccess* home = this->find_home(query.route.group);
+  if (!home || this->held_by_name.contains(query.name))
+    return answer(ForwardAnswer{});
+  auto record = std::make_shared<SessionRecord>();
+  for (const auto& [name, value] : query.values)
+    record->Set(name, value);
+  WorkRequest request;
+  request.route = query.route;
+  request.command = query.command;
+  request.needs_primary = query.needs_primary;
+  request.is_write = query.is_write;
+  request.opens_transaction = query.opens_transaction;
+  request.record = std::move(record);
+  request.session_point = query.session_point;
+  // Clocks of VMs are not compared; what the way took is not counted.
+  request.received_at = this->scheduler.Now() - query.waited;
+  home->Submit(
+      std::move(request),
+      this->life.Wrap([this, name = query.name, answer](WorkOutcome outcome) {
+        this->DidFinish(name, std::move(outcome), answer);
+      }));
+}
+
+void ForwardDesk::DidFinish(const std::string& name,
+                            WorkOutcome outcome,
+                            const PeerLinks::Answer& answer) {
+  ForwardAnswer forwarded;
+  forwarded.is_taken = true;
+  forwarded.answer = std::move(outcome.answer);
+  forwarded.is_open = outcome.transaction != nullptr;
+  if (outcome.transaction) {
+    auto held = std::make_shared<Held>();
+    held->transaction = std::move(outcome.transaction);
+    this->held_by_name.emplace(name, held);
+    this->RestartTimer(name, held);
+  }
+  answer(forwarded);
+}
+
+void ForwardDesk::Handle(const ContinueQuery& query,
+                         const PeerLinks::Answer& answer) {
+  const auto found = this->held_by_name.find(query.name);
+  const bool is_next = found != this->held_by_name.end() &&
+                       !found->second->is_running &&
+                       found->second->next_sequence == query.sequence;
+  if (!is_next) {
+    this->End(query.name);
+    return answer(ContinueAnswer{});
+  }
+  const HeldPointer held = found->second;
+  ++held->next_sequence;
+  held->is_running = true;
+  this->scheduler.Cancel(held->timer);
+  SessionRecord record;
+  for (const auto& [name, value] : query.values)
+    record.Set(name, value);
+  held->transaction->Run(
+      record, query.command, query.step,
+      this->life.Wrap([this, name = query.name, held, step = query.step,
+                       answer](StatementAnswer answered) {
+        this->DidContinue(name, held, step, std::move(answered), answer);
+      }));
+}
+
+void ForwardDesk::DidContinue(const std::string& name,
+                              const HeldPointer& held,
+                              TransactionStep step,
+                              StatementAnswer answered,
+                              const PeerLinks::Answer& answer) {
+  held->is_running = false;
+  const bool is_over =
+      step == TransactionStep::kCommit || answered.error.has_value();
+  ContinueAnswer continued;
+  continued.is_known = true;
+  continued.answer = std::move(answered);
+  if (held->transaction)
+    continued.committed = held->transaction->committed_point();
+  if (is_over)
+    this->End(name);
+  else
+    this->RestartTimer(name, held);
+  answer(continued);
+}
+
+void ForwardDesk::Handle(const EndQuery& query,
+                         const PeerLinks::Answer& answer) {
+  this->End(query.name);
+  answer(EndAnswer{});
+}
+
+void ForwardDesk::RestartTimer(const std::string& name,
+                               const HeldPointer& held) {
+  if (held->timer != 0)
+    this->scheduler.Cancel(held->timer);
+  held->timer = this->scheduler.PostAfter(
+      this->idle_limit() + kIdleMargin,
+      this->life.Wrap([this, name] { this->End(name); }));
+}
+
+void ForwardDesk::EndIdle() {
+  std::vector<std::string> idle;
+  for (const auto& [name, held] : this->held_by_name) {
+    if (!held->is_running)
+      idle.push_back(name);
+  }
+  for (const std::string& name : idle)
+    this->End(name);
+}
+
+void ForwardDesk::End(const std::string& name) {
+  auto ended = this->held_by_name.extract(name);
+  if (ended.empty())
+    return;
+  this->scheduler.Cancel(ended.mapped()->timer);
+  // Destroying the transaction may tell others, who may drop this.
+  const std::unique_ptr<CallerTransaction> transaction =
+      std::move(ended.mapped()->transaction);
+}
+
+}  // namespace kingcupmill
--- /dev/null
+++ b/Libraries/LibRelay/forward_desk.h
@@ -0,0 +1,61 @@
+#ifndef LIBRELAY_FORWARD_DESK_H_
+#define LIBRELAY_FORWARD_DESK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibCore/life_guard.h"
+#include "LibCore/scheduler.h"
+#include "LibDispatch/group_access.h"
+#include "LibPeer/peer_links.h"
+
+namespace kingcupmill {
+
+// Runs the statements that other proxies forward to this home, and holds their
+// transactions. One that is not continued for too long is rolled back.
+class ForwardDesk {
+ public:
+  // Returns the way to a group of which this proxy is a home, or null.
+  using FindHome = std::function<GroupAccess*(const GroupName&)>;
+  // How long a transaction may be idle.
+  using IdleLimit = std::function<Duration()>;
+
+  ForwardDesk(Scheduler& scheduler, FindHome find_home, IdleLimit idle_limit);
+  ~ForwardDesk();
+
+  void Handle(const ForwardQuery& query, const PeerLinks::Answer& answer);
+  void Handle(const ContinueQuery& query, const PeerLinks::Answer& answer);
+  void Handle(const EndQuery& query, const PeerLinks::Answer& answer);
+
+  // Rolls back every transaction that runs no statement.
+  void EndIdle();
+
+  size_t transaction_count() const { return this->held_by_name.size(); }
+
+ private:
+  struct Held;
+  using HeldPointer = std::shared_ptr<Held>;
+
+  void DidFinish(const std::string& name,
+                 WorkOutcome outcome,
+                 const PeerLinks::Answer& answer);
+  void DidContinue(const std::string& name,
+                   const HeldPointer& held,
+                   TransactionStep step,
+                   StatementAnswer answered,
+                   const PeerLinks::Answer& answer);
+  void RestartTimer(const std::string& name, const HeldPointer& held);
+  void End(const std::string& name);
+
+  Scheduler& scheduler;
+  FindHome find_home;
+  IdleLimit idle_limit;
+  std::map<std::string, HeldPointer> held_by_name;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBRELAY_FORWARD_DESK_H_
--- /dev/null
+++ b/Libraries/LibRelay/forwarding_group.h
@@ -0,0 +1,80 @@
+#ifndef LIBRELAY_FORWARDING_GROUP_H_
+#define LIBRELAY_FORWARDING_GROUP_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibCore/life_guard.h"
+#include "LibCore/scheduler.h"
+#include "LibDispatch/group_access.h"
+#include "LibPeer/peer_links.h"
+#include "LibRelay/home_chooser.h"
+
+namespace kingcupmill {
+
+class EventJournal;
+
+// The way to a group of which this proxy is no home: statements go to homes,
+// which queue them, choose the target and hold the lease on the primary.
+// Nothing is sent twice unless it did not run or is a read.
+class ForwardingGroup final : public GroupAccess {
+ public:
+  using Homes = std::function<std::vector<Home>()>;
+
+  struct Context {
+    Scheduler& scheduler;
+    PeerLinks& peers;
+    EventJournal& journal;
+    // Shared by all groups: a proxy is a home of several.
+    HomeChooser& chooser;
+    GroupName group;
+    Homes homes;
+    // Makes the names of questions unique.
+    std::string name_prefix;
+  };
+
+  explicit ForwardingGroup(Context context);
+  ~ForwardingGroup() override;
+
+  // GroupAccess:
+  WorkNumber Submit(WorkRequest request, DidFinishWork did_finish) override;
+  void Cancel(WorkNumber number) override;
+
+  size_t open_count() const { return this->work_by_number.size(); }
+
+ private:
+  class Transaction;
+  struct Work;
+  using WorkPointer = std::shared_ptr<Work>;
+
+  void Try(const WorkPointer& work);
+  void Send(const WorkPointer& work, const std::string& address);
+  void DidReceive(const WorkPointer& work,
+                  const std::string& address,
+                  const std::string& name,
+                  const std::optional<PeerAnswer>& answer);
+  void DidLose(const WorkPointer& work);
+  void DidHangOn(const WorkPointer& work);
+  void Finish(const WorkPointer& work, WorkOutcome outcome);
+  void Refuse(const WorkPointer& work);
+  // Rolls back a transaction that a home may have opened.
+  void End(const std::string& address, const std::string& name);
+  std::unique_ptr<CallerTransaction> Open(const Work& work,
+                                          const std::string& address,
+                                          const std::string& name);
+
+  Context context;
+  std::map<WorkNumber, WorkPointer> work_by_number;
+  WorkNumber next_number = 1;
+  uint64_t next_name = 1;
+  LifeGuard life;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBRELAY_FORWARDING_GROUP_H_
--- /dev/null
+++ b/Libraries/LibRelay/home_chooser.h
@@ -0,0 +1,62 @@
+#ifndef LIBRELAY_HOME_CHOOSER_H_
+#define LIBRELAY_HOME_CHOOSER_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+
+#include "LibCore/names.h"
+#include "LibCore/random_source.h"
+#include "LibCore/time.h"
+
+namespace kingcupmill {
+
+// A proxy that has connections to a group's targets.
+struct Home {
+  std::string address;
+  PlaceName place;
+  friend bool operator==(const Home&, const Home&) = default;
+};
+
+// Chooses the home that a statement is forwarded to: of this proxy's own place
+// while one of them works, and there the one with the fewest questions that
+// this proxy waits for, so that a slow home gets less.
+class HomeChooser {
+ public:
+  HomeChooser(PlaceName place, uint64_t seed);
+
+  // Returns the address of a home that is not in `avoided`, or nothing when all
+  // are avoided or have failed lately.
+  std::optional<std::string> Choose(std::span<const Home> homes,
+                                    const std::set<std::string>& avoided,
+                                    TimePoint now);
+
+  void DidSend(const std::string& address);
+  // Each sending is followed by one of these.
+  void DidAnswer(const std::string& address);
+  // The home does not take work: it drains, or is no home any more.
+  void DidDecline(const std::string& address, TimePoint now);
+  // It did not answer, or could not be reached.
+  void DidFail(const std::string& address, TimePoint now);
+
+  size_t in_flight(const std::string& address) const;
+
+ private:
+  struct Health {
+    size_t in_flight = 0;
+    TimePoint passed_over_until{};
+  };
+
+  void DidEnd(const std::string& address);
+
+  PlaceName place;
+  SeededRandom random;
+  std::map<std::string, Health> health_by_address;
+};
+
+}  // namespace kingcupmill
+
+#endif  // LIBRELAY_HOME_CHOOSER_H_
--- /dev/null
+++ b/Libraries/LibStatement/transaction_step.h
@@ -0,0 +1,11 @@
+#ifndef LIBSTATEMENT_TRANSACTION_STEP_H_
+#define LIBSTATEMENT_TRANSACTION_STEP_H_
+
+namespace kingcupmill {
+
+// What one statement does in a transaction.
+enum class TransactionStep { kRead, kWrite, kCommit };
+
+}  // namespace kingcupmill
+
+#endif  // LIBSTATEMENT_TRANSACTION_STEP_H_
