LibGateway: Let two proxies of a place read the store for the others there

Change: entries of targets are followed by long polls like the other tables. Where a place has more than four members, two of them read the store and the others follow these by long polls between proxies; who gets nothing new reads the store itself for a while, with a pause that grows with the members.

--- a/Libraries/LibEmulator/emulated_day.cc
+++ b/Libraries/LibEmulator/emulated_day.cc
@@ -13,13 +13,14 @@
 
 }  // namespace
 
-EmulatedDayReport PlayEmulatedDay(uint64_t seed, int rounds) {
+EmulatedDayReport PlayEmulatedDay(const EmulatedDayOptions& day) {
   EmulatedWorld::Options options;
-  options.seed = seed;
+  options.seed = day.seed;
+  options.nodes = day.nodes;
   options.groups = 2;
   EmulatedWorld world(options);
   world.Start();
-  for (int round = 0; round < rounds; ++round) {
+  for (int round = 0; round < day.rounds; ++round) {
     world.InjectFault();
     world.RunFor(kBetweenFaults);
   }
--- a/Libraries/LibEmulator/emulated_day.h
+++ b/Libraries/LibEmulator/emulated_day.h
@@ -1,6 +1,7 @@
 #ifndef LIBEMULATOR_EMULATED_DAY_H_
 #define LIBEMULATOR_EMULATED_DAY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -16,8 +17,17 @@
   uint64_t writes_after_healing = 0;
 };
 
-// Plays `rounds` random faults, 1.5 s apart, heals everything and goes on.
-EmulatedDayReport PlayEmulatedDay(uint64_t seed, int rounds);
+struct EmulatedDayOptions {
+  uint64_t seed = 1;
+  // Random faults, 1.5 s apart.
+  int rounds = 14;
+  // Proxies; with more than a target takes connections, statements are
+  // forwarded.
+  size_t nodes = 5;
+};
+
+// Plays the faults, heals everything and goes on.
+EmulatedDayReport PlayEmulatedDay(const EmulatedDayOptions& options);
 
 }  // namespace kingcupmill
 
--- a/Libraries/LibEmulator/emulated_world_test.cc
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -135,7 +135,7 @@
 TEST_CASE("no promise is broken under random faults") {
   for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
     CAPTURE(seed);
-    const EmulatedDayReport report = PlayEmulatedDay(seed, 12);
+    const EmulatedDayReport report = PlayEmulatedDay({seed, 12, 5});
     CHECK(report.violations == std::vector<std::string>());
     // What is healed is served again.
     CHECK(report.writes_after_healing > 30);
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "LibDispatch/open_transaction.h"
 #include "LibDispatch/target_view.h"
+#include "LibGateway/store_readers.h"
 #include "LibStatement/error_names.h"
 
 namespace kingcupmill {
@@ -21,16 +22,24 @@
 // Added to the wait for leases to run out, for timers that fire late.
 constexpr Duration kLeaseSlack = std::chrono::milliseconds(300);
 // Long polls renew leases, so they are a fraction of a lease.
-constexpr Duration kFollowInterval = std::chrono::milliseconds(1500);
-// A leaving target is to get no new work after some seconds.
-constexpr Duration kTargetsInterval = std::chrono::milliseconds(900);
+constexpr Duration kFollowInterval = std::chrono::milliseconds(1800);
 // Copies are asked from another proxy when the store has not answered for
 // longer than a long poll takes.
-constexpr Duration kCopyAfter = std::chrono::milliseconds(2200);
+constexpr Duration kCopyAfter = std::chrono::milliseconds(2500);
+// Copies that come through a reader are older by one more long poll.
+constexpr Duration kCopyAfterReaders = std::chrono::milliseconds(4100);
 constexpr Duration kCopyAfterRefusal = std::chrono::milliseconds(700);
 constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
 constexpr Duration kCopyIntervalInHandover = std::chrono::milliseconds(100);
 constexpr Duration kCopyTimeout = std::chrono::milliseconds(600);
+// A proxy reads the store itself when the copies that readers send are older
+// than two long polls and a second, and for this long.
+constexpr Duration kReaderPatience = std::chrono::milliseconds(4600);
+constexpr Duration kDirectReading = std::chrono::seconds(6);
+// The pause after a failed read of the store grows with the members, so that
+// all together make a bounded number of calls.
+constexpr Duration kStoreRetry = std::chrono::milliseconds(250);
+constexpr Duration kStoreRetryPerMember = std::chrono::milliseconds(10);
 // Between two looks at what may have changed by time alone.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kBusyTickInterval = std::chrono::milliseconds(20);
@@ -54,19 +63,10 @@
 TableFollower::Options FollowOptions(std::string table) {
   TableFollower::Options options;
   options.table = std::move(table);
-  options.mode = TableFollower::Mode::kWait;
   options.interval = kFollowInterval;
   return options;
 }
 
-TableFollower::Options PollOptions(std::string table) {
-  TableFollower::Options options;
-  options.table = std::move(table);
-  options.mode = TableFollower::Mode::kPoll;
-  options.interval = kTargetsInterval;
-  return options;
-}
-
 MemberRecord SelfRecord(const Gateway::Options& options) {
   MemberRecord self;
   self.address = options.peer_address;
@@ -94,7 +94,7 @@
                     [this] { this->DidReadConfiguration(); }),
       targets(surroundings.scheduler,
               surroundings.store,
-              PollOptions(surroundings.codec.targets_table()),
+              FollowOptions(surroundings.codec.targets_table()),
               [this] { this->DidReadTargets(); }),
       coordination(surroundings.scheduler,
                    surroundings.store,
@@ -113,6 +113,16 @@
       loan_desk(
           surroundings.scheduler,
           [this](const GroupName& group) { return this->FindGroup(group); }),
+      copy_desk(
+          surroundings.scheduler,
+          [this](const CopyQuery& query) { return this->MakeCopies(query); }),
+      copy_follower(
+          surroundings.scheduler,
+          surroundings.peers,
+          [this] { return this->KnownVersions(); },
+          [this](const CopyAnswer& answer, TimePoint asked_at) {
+            this->TakeCopies(answer, asked_at);
+          }),
       forward_desk(
           surroundings.scheduler,
           [this](const GroupName& group) -> GroupAccess* {
@@ -247,6 +257,7 @@
                decoded->groups.size());
   this->routes = std::move(*decoded);
   this->UpdateDispatchers();
+  this->copy_desk.DidRead();
 }
 
 void Gateway::DidReadTargets() {
@@ -257,6 +268,10 @@
   this->directory.DidRead(
       this->around.codec.DecodeTargets(this->targets.rows()), steady_for);
   this->UpdateDispatchers();
+  if (this->targets.version() != this->told_targets) {
+    this->told_targets = this->targets.version();
+    this->copy_desk.DidRead();
+  }
 }
 
 void Gateway::DidReadCoordination() {
@@ -269,6 +284,7 @@
   this->UpdateDispatchers();
   for (auto& [group, dispatcher] : this->dispatchers)
     dispatcher->DidChangeLeases();
+  this->copy_desk.DidRead();
 }
 
 std::vector<TargetEntry> Gateway::TargetsOf(const GroupName& group) const {
@@ -372,6 +388,8 @@
   for (const GroupName& group : this->home_groups)
     this->dispatchers.at(group)->Tick();
   this->failover.Tick();
+  this->copy_desk.Tick();
+  this->UpdateSource();
   this->AskForCopies();
   this->TickIsolation();
   this->TickDrain();
@@ -389,12 +407,35 @@
   return others;
 }
 
+void Gateway::UpdateSource() {
+  const TimePoint now = this->around.scheduler.Now();
+  std::vector<std::string> readers = ChooseStoreReaders(
+      this->view.members(), this->options.place, this->options.peer_address);
+  const bool has_readers = !readers.empty();
+  this->copy_follower.SetReaders(std::move(readers));
+  const Duration age = now - this->coordination.read_at();
+  if (has_readers &&
+      (!this->copy_follower.is_working() || age > kReaderPatience))
+    this->direct_until = now + kDirectReading;
+  const auto source = !has_readers || now < this->direct_until
+                          ? TableFollower::Source::kStore
+                          : TableFollower::Source::kPeer;
+  const Duration retry = std::max<Duration>(
+      kStoreRetry, kStoreRetryPerMember * this->view.members().size());
+  for (TableFollower* follower :
+       {&this->configuration, &this->targets, &this->coordination}) {
+    follower->SetRetryInterval(retry);
+    follower->SetSource(source);
+  }
+}
+
 void Gateway::AskForCopies() {
   const TimePoint now = this->around.scheduler.Now();
   // A store that is known to turn this proxy away is not waited for, least of
   // all in the middle of a hand-over.
   const bool is_turned_away = !this->coordination.steady_since().has_value();
-  Duration patience = kCopyAfter;
+  Duration patience =
+      this->copy_follower.is_following() ? kCopyAfterReaders : kCopyAfter;
   if (is_turned_away)
     patience = this->failover.is_active() ? kCopyIntervalInHandover
                                           : kCopyAfterRefusal;
@@ -412,9 +453,7 @@
     return;
   this->asked_for_copies_at = now;
   CopyQuery query;
-  query.versions = {this->configuration.version().value_or(0),
-                    this->targets.version().value_or(0),
-                    this->coordination.version().value_or(0)};
+  query.versions = this->KnownVersions();
   this->around.peers.Ask(
       others.at(this->random.Below(others.size())), query, kCopyTimeout,
       this->life.Wrap([this, now](std::optional<PeerAnswer> answer) {
@@ -425,6 +464,12 @@
       }));
 }
 
+std::vector<uint64_t> Gateway::KnownVersions() const {
+  return {this->configuration.version().value_or(0),
+          this->targets.version().value_or(0),
+          this->coordination.version().value_or(0)};
+}
+
 CopyAnswer Gateway::MakeCopies(const CopyQuery& query) const {
   const TimePoint now = this->around.scheduler.Now();
   CopyAnswer answer;
@@ -444,6 +489,8 @@
     copy.table = name;
     copy.version = *follower->version();
     copy.age = now - follower->read_at();
+    if (const auto since = follower->steady_since())
+      copy.steady_for = now - *since;
     if (copy.version > known) {
       copy.rows.emplace();
       copy.rows->version = copy.version;
@@ -476,6 +523,10 @@
     // The answer was made after the question was sent, so its ages count from
     // there.
     const TimePoint read_at = asked_at - copy.age;
+    std::optional<TimePoint> steady_since;
+    if (copy.steady_for)
+      steady_since = this->around.scheduler.Now() - *copy.steady_for;
+    follower->second->DidHearOfStore(steady_since);
     if (copy.rows) {
       follower->second->TakeCopy(*copy.rows, read_at);
       continue;
@@ -532,7 +583,7 @@
 void Gateway::HandleQuery(const PeerQuery& query,
                           const PeerLinks::Answer& answer) {
   if (const auto* copy = std::get_if<CopyQuery>(&query))
-    return answer(this->MakeCopies(*copy));
+    return this->copy_desk.Handle(*copy, answer);
   if (const auto* close = std::get_if<CloseQuery>(&query))
     return answer(this->HandleClose(*close));
   if (const auto* borrow = std::get_if<BorrowQuery>(&query))
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -20,6 +20,8 @@
 #include "LibDirectory/directory_codec.h"
 #include "LibDirectory/target_directory.h"
 #include "LibDispatch/event_journal.h"
+#include "LibGateway/copy_desk.h"
+#include "LibGateway/copy_follower.h"
 #include "LibGateway/gateway_metrics.h"
 #include "LibGateway/gateway_session.h"
 #include "LibGateway/home_roles.h"
@@ -122,9 +124,12 @@
   void Tick();
   // The addresses of the other members that are not gone.
   std::vector<std::string> OtherMembers() const;
+  // Follows the store itself, or through members that read it for others.
+  void UpdateSource();
   void AskForCopies();
   void TakeCopies(const CopyAnswer& answer, TimePoint asked_at);
   CopyAnswer MakeCopies(const CopyQuery& query) const;
+  std::vector<uint64_t> KnownVersions() const;
   bool StopPrimary(const PrimaryRecord& record);
   CloseAnswer HandleClose(const CloseQuery& query);
   HealthAnswer HandleHealth(const HealthQuery& query);
@@ -159,13 +164,19 @@
   std::map<GroupName, std::unique_ptr<ForwardingGroup>> forwarding_groups;
   RelayDialer relay_dialer;
   LoanDesk loan_desk;
+  CopyDesk copy_desk;
+  CopyFollower copy_follower;
   ForwardDesk forward_desk;
   MemberRegistration registration;
   FailoverAgent failover;
   std::map<GatewaySession*, CallerChannel*> sessions;
   IsolationWatch isolation;
+  // The version of the targets that waiting peers have been told.
+  std::optional<uint64_t> told_targets;
   TimePoint asked_others_at{};
   TimePoint asked_for_copies_at{};
+  // Until when the store is read directly because the readers did not serve.
+  TimePoint direct_until{};
   std::optional<TimePoint> draining_since;
   std::function<void()> did_drain;
   LifeGuard life;
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -41,8 +41,11 @@
     for (const StoreRow& row : copy.rows->rows)
       rows.push_back(json::array({row.key, row.value, row.version}));
   }
-  return json::array(
-      {copy.table, std::move(rows), copy.version, copy.age.count()});
+  json steady_for = nullptr;
+  if (copy.steady_for)
+    steady_for = copy.steady_for->count();
+  return json::array({copy.table, std::move(rows), copy.version,
+                      copy.age.count(), std::move(steady_for)});
 }
 
 TableCopy TableFromJson(const json& value) {
@@ -50,6 +53,8 @@
   copy.table = value.at(0);
   copy.version = value.at(2);
   copy.age = Duration(value.at(3).get<int64_t>());
+  if (const json& steady_for = value.at(4); !steady_for.is_null())
+    copy.steady_for = Duration(steady_for.get<int64_t>());
   if (value.at(1).is_null())
     return copy;
   TableRows rows;
@@ -62,7 +67,7 @@
 
 struct BodyOf {
   json operator()(const CopyQuery& query) const {
-    return json::array({kCopyQuery, query.versions});
+    return json::array({kCopyQuery, query.versions, query.wait.count()});
   }
   json operator()(const CloseQuery& query) const {
     const PrimaryRecord& record = query.record;
@@ -225,7 +230,8 @@
   switch (body.at(0).get<int>()) {
     case kCopyQuery:
       return NumberedQuery{number,
-                           CopyQuery{body.at(1).get<std::vector<uint64_t>>()}};
+                           CopyQuery{body.at(1).get<std::vector<uint64_t>>(),
+                                     Duration(body.at(2).get<int64_t>())}};
     case kCloseQuery:
       return NumberedQuery{number, CloseQueryFrom(body)};
     case kHealthQuery:
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -24,6 +24,9 @@
   // The versions that the asker has; tables that are no newer come without
   // rows.
   std::vector<uint64_t> versions;
+  // How long the peer may hold the question until it has read a table again; an
+  // answer with newer rows comes at once.
+  Duration wait{};
 };
 
 // One table of the store as a proxy read it.
@@ -34,6 +37,8 @@
   uint64_t version = 0;
   // How long before the answer the read was sent that showed this.
   Duration age{};
+  // For how long the store has answered the peer without a failure.
+  std::optional<Duration> steady_for;
 };
 
 // Where a group's log ended, by its primary's word.
--- a/Libraries/LibTables/table_follower.cc
+++ b/Libraries/LibTables/table_follower.cc
@@ -20,11 +20,25 @@
   this->Next();
 }
 
+void TableFollower::SetSource(Source next) {
+  if (next == this->source)
+    return;
+  this->source = next;
+  // What is under way is ignored; its answer may be older than a copy.
+  ++this->attempt;
+  if (next == Source::kStore)
+    this->Next();
+}
+
+void TableFollower::DidHearOfStore(std::optional<TimePoint> steady_since) {
+  if (this->source == Source::kPeer)
+    this->steady_from = steady_since;
+}
+
 void TableFollower::Next() {
   const uint64_t number = ++this->attempt;
   const TimePoint sent_at = this->scheduler.Now();
-  const bool is_whole = this->needs_whole_read || !this->known_version ||
-                        this->options.mode == Mode::kPoll;
+  const bool is_whole = this->needs_whole_read || !this->known_version;
   auto did_read = this->life.Wrap(
       [this, number, sent_at, is_whole](ValueOrError<TableRows> outcome) {
         this->DidRead(number, sent_at, is_whole, std::move(outcome));
@@ -42,8 +56,7 @@
   if (number != this->attempt)
     return;
   const TimePoint now = this->scheduler.Now();
-  Duration pause =
-      this->options.mode == Mode::kPoll ? this->options.interval : Duration(0);
+  Duration pause{};
   if (const auto* error = std::get_if<Error>(&outcome)) {
     const bool is_history_lost = error->code == ErrorCode::kNotFound;
     if (is_history_lost) {
@@ -74,7 +87,10 @@
       this->did_update();
     }
   }
-  this->scheduler.PostAfter(pause, this->life.Wrap([this] { this->Next(); }));
+  this->scheduler.PostAfter(pause, this->life.Wrap([this, number] {
+    if (number == this->attempt)
+      this->Next();
+  }));
 }
 
 void TableFollower::TakeCopy(const TableRows& copy, TimePoint read_at) {
--- a/Libraries/LibTables/table_follower.h
+++ b/Libraries/LibTables/table_follower.h
@@ -20,17 +20,9 @@
   // Called after each successful read, also when nothing has changed.
   using DidUpdate = std::function<void()>;
 
-  enum class Mode {
-    // Long polls: a change arrives within milliseconds.
-    kWait,
-    // Whole reads at intervals, for tables that change all the time.
-    kPoll,
-  };
-
   struct Options {
     std::string table;
-    Mode mode = Mode::kWait;
-    // How long a long poll waits, or the time between two reads.
+    // How long a long poll waits; a change arrives within milliseconds.
     Duration interval;
     // The pause after a failed read.
     Duration retry_interval = std::chrono::milliseconds(250);
@@ -43,6 +35,19 @@
 
   void Start();
 
+  // Whether the table is read from the store, or copies come from a peer.
+  enum class Source { kStore, kPeer };
+  void SetSource(Source next);
+
+  // Sets the pause after a failed read.
+  void SetRetryInterval(Duration interval) {
+    this->options.retry_interval = interval;
+  }
+
+  // Takes since when the store has answered the peer that sends copies. Without
+  // effect while the store is read.
+  void DidHearOfStore(std::optional<TimePoint> steady_since);
+
   // Takes a copy that a peer read at `read_at` on this proxy's clock, or
   // later.
   void TakeCopy(const TableRows& copy, TimePoint read_at);
@@ -74,6 +79,7 @@
   DidUpdate did_update;
   Rows row_by_key;
   std::optional<uint64_t> known_version;
+  Source source = Source::kStore;
   bool needs_whole_read = true;
   TimePoint newest_read_at{};
   TimePoint answered_at{};
--- a/Libraries/LibTables/table_follower_test.cc
+++ b/Libraries/LibTables/table_follower_test.cc
@@ -57,8 +57,7 @@
   ScriptedStore store;
   int updates = 0;
   TableFollower follower(scheduler, store,
-                         TableFollower::Options{"t", TableFollower::Mode::kWait,
-                                                milliseconds(1500)},
+                         TableFollower::Options{"t", milliseconds(1500)},
                          [&] { ++updates; });
   follower.Start();
   REQUIRE(store.calls.size() == 1);
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -17,6 +17,7 @@
 
 using kingcupmill::ChaosReport;
 using kingcupmill::ChaosRun;
+using kingcupmill::EmulatedDayOptions;
 using kingcupmill::Error;
 using kingcupmill::Experiment;
 using kingcupmill::ExperimentOptions;
@@ -130,14 +131,17 @@
   return failures == 0 ? kExitOk : kExitViolations;
 }
 
-// Plays emulated days from the seed `first` on; returns the exit code.
-int RunEmulation(uint64_t first, uint64_t count, int rounds) {
+// Plays emulated days from the seed of `first` on; returns the exit code.
+int RunEmulation(const EmulatedDayOptions& first, uint64_t count) {
   uint64_t failures = 0;
   uint64_t statements = 0;
   uint64_t promotions = 0;
-  for (uint64_t seed = first; seed < first + count; ++seed) {
+  for (uint64_t day = 0; day < count; ++day) {
+    EmulatedDayOptions options = first;
+    options.seed += day;
+    const uint64_t seed = options.seed;
     const kingcupmill::EmulatedDayReport report =
-        kingcupmill::PlayEmulatedDay(seed, rounds);
+        kingcupmill::PlayEmulatedDay(options);
     statements += report.statements;
     promotions += report.promotions;
     for (const std::string& violation : report.violations)
@@ -247,24 +251,27 @@
       ->add_option("--without", chaos_options.disabled_guard,
                    "Switch one protection off, to see that it is needed")
       ->transform(CLI::CheckedTransformer(kGuards));
-  uint64_t first_day = 1;
+  EmulatedDayOptions day;
+  day.rounds = 12;
   uint64_t day_count = 1;
-  int rounds = 12;
   CLI::App* emulate = app.add_subcommand(
       "emulate",
       "Run whole proxies before emulated targets on virtual time under faults");
-  emulate->add_option("--seed", first_day, "First seed")->capture_default_str();
+  emulate->add_option("--nodes", day.nodes, "Number of proxies")
+      ->check(CLI::Range(1, 1'000))
+      ->capture_default_str();
+  emulate->add_option("--seed", day.seed, "First seed")->capture_default_str();
   emulate->add_option("--seeds", day_count, "Number of seeds")
       ->check(CLI::Range(1, 1'000'000))
       ->capture_default_str();
-  emulate->add_option("--rounds", rounds, "Faults a day")
+  emulate->add_option("--rounds", day.rounds, "Faults a day")
       ->check(CLI::Range(0, 10'000))
       ->capture_default_str();
   CLI11_PARSE(app, argc, argv);
 
   spdlog::set_level(spdlog::level::from_str(log_level));
   if (*emulate)
-    return RunEmulation(first_day, day_count, rounds);
+    return RunEmulation(day, day_count);
   if (*chaos)
     return RunChaos(chaos_options, first_seed, seed_count);
   kingcupmill::HttpServer::InitializeThreads(kHttpThreads);
