--- /dev/null
+++ b/Libraries/LibGateway/home_roles_test.cc
@@ -0,0 +1,114 @@
+#include "LibGateway/home_roles.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace kingcupmill {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const GroupName kGroup{"orders"};
+
+std::string AddressOf(int number) {
+  return "10.0.0." + std::to_string(number) + ":7000";
+}
+
+std::map<std::string, MemberRecord> Members(int count) {
+  std::map<std::string, MemberRecord> members;
+  for (int number = 1; number <= count; ++number) {
+    MemberRecord member;
+    member.address = AddressOf(number);
+    member.vm.value = "vm-" + std::to_string(number);
+    member.place.value = "place-" + std::to_string(number % 3);
+    members.emplace(member.address, member);
+  }
+  return members;
+}
+
+std::vector<HomeRoles::Group> Groups(int connections) {
+  return {HomeRoles::Group{
+      kGroup,
+      connections,
+      {PlaceName{"place-0"}, PlaceName{"place-1"}, PlaceName{"place-2"}}}};
+}
+
+int CountHomes(const std::map<std::string, MemberRecord>& members,
+               int connections) {
+  int homes = 0;
+  for (const auto& [address, member] : members) {
+    HomeRoles roles(address);
+    roles.DidReadMembers(members, TimePoint{});
+    homes +=
+        static_cast<int>(roles.Choose(Groups(connections), TimePoint{}).size());
+  }
+  return homes;
+}
+
+}  // namespace
+
+TEST_CASE("homes of a group") {
+  const TimePoint start{seconds(100)};
+
+  SUBCASE("are all proxies while the connections suffice") {
+    CHECK(CountHomes(Members(7), 14) == 7);
+  }
+
+  SUBCASE("are a few of many proxies") {
+    CHECK(CountHomes(Members(89), 25) == 8);
+
+    SUBCASE("whatever the number of proxies") {
+      CHECK(CountHomes(Members(300), 25) == 8);
+    }
+  }
+
+  SUBCASE("are chosen once the members have settled") {
+    HomeRoles roles(AddressOf(1));
+    roles.DidReadMembers({}, start);
+    CHECK(roles.Choose(Groups(14), start).empty());
+    roles.DidReadMembers(Members(2), start + milliseconds(100));
+    CHECK(roles.Choose(Groups(14), start + milliseconds(200)).empty());
+    CHECK(roles.Choose(Groups(14), start + milliseconds(700)).size() == 1);
+  }
+
+  SUBCASE("are chosen at once by a proxy that was a member before") {
+    HomeRoles roles(AddressOf(1));
+    roles.DidReadMembers(Members(7), start);
+    CHECK(roles.Choose(Groups(14), start).size() == 1);
+  }
+
+  SUBCASE("do not count members that are gone") {
+    auto members = Members(2);
+    members.at(AddressOf(2)).is_gone = true;
+    HomeRoles roles(AddressOf(2));
+    roles.DidReadMembers(members, start);
+    CHECK(roles.Choose(Groups(14), start + seconds(1)).empty());
+  }
+
+  SUBCASE("keep a role for a while when it moves to another proxy") {
+    // Alone, the proxy has the role; among 300 the hash chooses others.
+    HomeRoles roles(AddressOf(1));
+    roles.DidReadMembers(Members(1), start);
+    REQUIRE(roles.Choose(Groups(6), start).size() == 1);
+    roles.DidReadMembers(Members(300), start + seconds(1));
+    HomeRoles fresh(AddressOf(1));
+    fresh.DidReadMembers(Members(300), start);
+    REQUIRE(fresh.Choose(Groups(6), start).empty());
+    CHECK(roles.Choose(Groups(6), start + seconds(2)).size() == 1);
+    CHECK(roles.Choose(Groups(6), start + seconds(20)).empty());
+  }
+
+  SUBCASE("are those that the store's rows name") {
+    auto members = Members(3);
+    members.at(AddressOf(2)).home_of = {kGroup};
+    HomeRoles roles(AddressOf(1));
+    roles.DidReadMembers(members, start);
+    REQUIRE(roles.HomesOf(kGroup).size() == 1);
+    CHECK(roles.HomesOf(kGroup)[0].address == AddressOf(2));
+  }
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -118,6 +118,43 @@
     }
   }
 
+  SUBCASE("with a forwarded statement arrive as they were sent") {
+    CHECK(rc::check("any bytes in a text",
+                    [](const std::string& text, const std::string& value,
+                       uint16_t priority, bool is_write) {
+                      ForwardQuery sent;
+                      sent.name = "asker.1";
+                      sent.route.kind = RouteKind::kReadYourWrites;
+                      sent.route.group.value = "orders";
+                      sent.route.priority = priority;
+                      sent.route.maximum_staleness =
+                          std::chrono::milliseconds(1500);
+                      sent.command.text = text;
+                      sent.is_write = is_write;
+                      sent.values = {{"zone", std::to_string(value.size())}};
+                      sent.session_point = LogPoint{Term{2}, Position{70}};
+                      sent.waited = std::chrono::milliseconds(12);
+                      const ForwardQuery received = ThroughTheWire(sent);
+                      RC_ASSERT(received.route == sent.route);
+                      RC_ASSERT(received.command.text == text);
+                      RC_ASSERT(received.is_write == is_write);
+                      RC_ASSERT(received.values == sent.values);
+                      RC_ASSERT(received.session_point == sent.session_point);
+                      RC_ASSERT(received.waited == sent.waited);
+                    }));
+    ContinueQuery next;
+    next.name = "asker.1";
+    next.sequence = 4;
+    next.step = TransactionStep::kCommit;
+    const ContinueQuery received = ThroughTheWire(next);
+    CHECK(received.sequence == 4);
+    CHECK(received.step == TransactionStep::kCommit);
+    const auto answer = BackThroughTheWire(
+        ContinueAnswer{true, {}, LogPoint{Term{1}, Position{3}}});
+    CHECK(answer.is_known);
+    CHECK(answer.committed == LogPoint{Term{1}, Position{3}});
+  }
+
   SUBCASE("that are anything else are refused") {
     CHECK(rc::check("any bytes", [](const std::vector<uint8_t>& bytes) {
       // Must not crash; what decodes by chance is a message.
--- /dev/null
+++ b/Libraries/LibRelay/home_chooser_test.cc
@@ -0,0 +1,89 @@
+#include "LibRelay/home_chooser.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kingcupmill {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const PlaceName kHere{"accra-a"};
+const PlaceName kThere{"tema-c"};
+
+std::vector<Home> TwoHereOneThere() {
+  return {{"a", kHere}, {"b", kHere}, {"c", kThere}};
+}
+
+}  // namespace
+
+TEST_CASE("the home that a statement is forwarded to") {
+  HomeChooser chooser(kHere, 7);
+  const std::vector<Home> homes = TwoHereOneThere();
+  const TimePoint now{seconds(100)};
+
+  SUBCASE("is one of the same place") {
+    for (int turn = 0; turn < 20; ++turn)
+      CHECK(chooser.Choose(homes, {}, now) != "c");
+  }
+
+  SUBCASE("is the one that owes fewer answers") {
+    chooser.DidSend("a");
+    CHECK(chooser.Choose(homes, {}, now) == "b");
+
+    SUBCASE("until it has answered") {
+      chooser.DidAnswer("a");
+      chooser.DidSend("b");
+      CHECK(chooser.Choose(homes, {}, now) == "a");
+    }
+  }
+
+  SUBCASE("is not one that just failed") {
+    chooser.DidSend("a");
+    chooser.DidFail("a", now);
+    CHECK(chooser.Choose(homes, {}, now) == "b");
+
+    SUBCASE("but one of another place when all of this place did") {
+      chooser.DidSend("b");
+      chooser.DidDecline("b", now);
+      CHECK(chooser.Choose(homes, {}, now) == "c");
+      CHECK_FALSE(chooser.Choose(homes, {"c"}, now).has_value());
+    }
+
+    SUBCASE("and is tried again later") {
+      CHECK(chooser.Choose(homes, {"b", "c"}, now + seconds(1)) == "a");
+    }
+  }
+
+  SUBCASE("is not one that the statement avoids") {
+    CHECK(chooser.Choose(homes, {"a", "b"}, now) == "c");
+  }
+
+  SUBCASE("a home that is five times slower gets a small share of a burst") {
+    // Each turn is a millisecond: one statement comes, a fast home answers
+    // after 8 turns and the slow one after 40.
+    const std::vector<Home> pair = {{"fast", kHere}, {"slow", kHere}};
+    const std::map<std::string, int> service = {{"fast", 8}, {"slow", 40}};
+    std::multimap<int, std::string> due;
+    std::map<std::string, int> sent;
+    for (int turn = 0; turn < 2000; ++turn) {
+      while (!due.empty() && due.begin()->first <= turn) {
+        chooser.DidAnswer(due.begin()->second);
+        due.erase(due.begin());
+      }
+      const std::string home = *chooser.Choose(pair, {}, now);
+      chooser.DidSend(home);
+      ++sent[home];
+      due.emplace(turn + service.at(home), home);
+    }
+    // A choice at random would give it half.
+    CHECK(sent["slow"] * 4 < sent["fast"]);
+  }
+}
+
+}  // namespace kingcupmill
