LibGateway: Know that the place is cut off by the word of its homes

Cause: a proxy that is no home asks no primary, so in the cut of a place it stayed ready; with half of a place ready the balancer keeps all of it.

Change: a home's answer to a forwarded statement tells how long the primary has been silent; the watch for isolation counts the groups of which this proxy is no home by that word.

Ruled out: pings of other places alone, which would take a proxy out of rotation that is alone because all others are down.

--- a/Libraries/LibEmulator/emulated_world_test.cc
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -132,10 +132,58 @@
   }
 }
 
+TEST_CASE("more proxies than a target takes connections") {
+  EmulatedWorld::Options options = OptionsFor(11);
+  options.nodes = 20;
+  EmulatedWorld world(options);
+  world.Start();
+
+  SUBCASE("serve every statement on a calm day, few of them as homes") {
+    world.RunFor(std::chrono::seconds(10));
+    const auto counts = world.TotalCounts();
+    CHECK(counts.sent > 1000);
+    CHECK(counts.refused * 50 < counts.sent);
+    CHECK(FirstViolation(world) == "");
+    size_t roles = 0;
+    for (size_t index = 0; index < options.nodes; ++index)
+      roles += world.node(index).gateway()->home_count();
+    // Four homes for each of two groups.
+    CHECK(roles == 8);
+    for (const auto& target : world.group(0).targets())
+      CHECK(target->most_sessions() <= EmulatedTarget::kMaximumSessions);
+  }
+
+  SUBCASE("go on when homes are lost") {
+    world.RunFor(std::chrono::seconds(2));
+    for (size_t index = 0; index < options.nodes; ++index) {
+      if (world.node(index).gateway()->home_count() > 0)
+        world.KillNode(index, std::chrono::seconds(60));
+    }
+    world.RunFor(std::chrono::seconds(25));
+    const auto before = world.TotalCounts().writes_succeeded;
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.TotalCounts().writes_succeeded > before + 20);
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE("replace a primary that crashes") {
+    world.RunFor(std::chrono::seconds(2));
+    const TargetName lost = world.group(0).leader().name();
+    world.CrashTarget(lost, std::chrono::seconds(30));
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.group(0).leader().name() != lost);
+    const auto before = world.TotalCounts().writes_succeeded;
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.TotalCounts().writes_succeeded > before + 20);
+    CHECK(FirstViolation(world) == "");
+  }
+}
+
 TEST_CASE("no promise is broken under random faults") {
-  for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+  for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10}) {
     CAPTURE(seed);
-    const EmulatedDayReport report = PlayEmulatedDay({seed, 12, 5});
+    const size_t nodes = seed > 8 ? 20 : 5;
+    const EmulatedDayReport report = PlayEmulatedDay({seed, 12, nodes});
     CHECK(report.violations == std::vector<std::string>());
     // What is healed is served again.
     CHECK(report.writes_after_healing > 30);
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -128,6 +128,9 @@
           [this](const GroupName& group) -> GroupAccess* {
             return this->draining_since ? nullptr : this->FindHome(group);
           },
+          [this](const GroupName& group) {
+            return this->PrimarySilence(group);
+          },
           [this] { return this->transaction_idle_limit(); }),
       registration(surroundings.scheduler,
                    this->store,
@@ -320,6 +323,12 @@
       static_cast<size_t>(this->SharedConnections(group)) / homes, 1);
 }
 
+Duration Gateway::PrimarySilence(const GroupName& group) const {
+  if (this->home_groups.contains(group))
+    return this->dispatchers.at(group)->PrimarySilence();
+  return this->forwarding_groups.at(group)->PrimarySilence();
+}
+
 void Gateway::UpdateRoles() {
   if (!this->routes || !this->coordination.version())
     return;
@@ -362,7 +371,7 @@
     if (!forwarding)
       forwarding = std::make_unique<ForwardingGroup>(ForwardingGroup::Context{
           this->around.scheduler, this->around.peers, this->journal,
-          this->home_chooser, group,
+          this->home_chooser, group, this->options.place,
           [this, group] {
             std::vector<Home> homes = this->roles.HomesOf(group);
             std::erase_if(homes, [this](const Home& home) {
@@ -616,9 +625,9 @@
   const TimePoint now = this->around.scheduler.Now();
   IsolationWatch::Sight sight;
   sight.heard_age = Duration::max();
-  for (const GroupName& group : this->home_groups) {
+  for (const auto& [group, forwarding] : this->forwarding_groups) {
     ++sight.groups;
-    if (this->dispatchers.at(group)->PrimarySilence() > kIsolatedSilence)
+    if (this->PrimarySilence(group) > kIsolatedSilence)
       ++sight.silent_groups;
   }
   for (const auto& [address, member] : this->view.members()) {
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -138,6 +138,9 @@
   // Connections of one target of a group that all proxies may have together.
   int SharedConnections(const GroupName& group) const;
   size_t LinkLimit(const GroupName& group) const;
+  // How long a group's primary has been silent, by this proxy's own questions
+  // or by the word of the homes of its place.
+  Duration PrimarySilence(const GroupName& group) const;
   void TickIsolation();
   void CloseSessionsAtRest();
   void TickDrain();
--- a/Libraries/LibPeer/forward_query.cc
+++ b/Libraries/LibPeer/forward_query.cc
@@ -64,12 +64,13 @@
 }
 
 json ToJson(const ForwardAnswer& answer) {
-  return json::array({answer.is_taken, ToJson(answer.answer), answer.is_open});
+  return json::array({answer.is_taken, ToJson(answer.answer), answer.is_open,
+                      answer.primary_silence.count()});
 }
 
 ForwardAnswer ForwardAnswerFromJson(const json& value) {
   return ForwardAnswer{value.at(0), StatementAnswerFromJson(value.at(1)),
-                       value.at(2)};
+                       value.at(2), Duration(value.at(3).get<int64_t>())};
 }
 
 json ToJson(const ContinueQuery& query) {
--- a/Libraries/LibPeer/forward_query.h
+++ b/Libraries/LibPeer/forward_query.h
@@ -39,6 +39,8 @@
   StatementAnswer answer;
   // Whether a transaction is open under the name of the question.
   bool is_open = false;
+  // How long the group's primary has left the peer's questions unanswered.
+  Duration primary_silence{};
 };
 
 // Runs the next statement of a transaction that the peer holds.
--- a/Libraries/LibRelay/forward_desk.cc
+++ b/Libraries/LibRelay/forward_desk.cc
@@ -25,9 +25,11 @@
 
 ForwardDesk::ForwardDesk(Scheduler& scheduler,
                          FindHome find_home,
+                         PrimarySilence primary_silence,
                          IdleLimit idle_limit)
     : scheduler(scheduler),
       find_home(std::move(find_home)),
+      primary_silence(std::move(primary_silence)),
       idle_limit(std::move(idle_limit)) {}
 
 ForwardDesk::~ForwardDesk() = default;
@@ -52,18 +54,21 @@
   request.received_at = this->scheduler.Now() - query.waited;
   home->Submit(
       std::move(request),
-      this->life.Wrap([this, name = query.name, answer](WorkOutcome outcome) {
-        this->DidFinish(name, std::move(outcome), answer);
+      this->life.Wrap([this, name = query.name, group = query.route.group,
+                       answer](WorkOutcome outcome) {
+        this->DidFinish(name, group, std::move(outcome), answer);
       }));
 }
 
 void ForwardDesk::DidFinish(const std::string& name,
+                            const GroupName& group,
                             WorkOutcome outcome,
                             const PeerLinks::Answer& answer) {
   ForwardAnswer forwarded;
   forwarded.is_taken = true;
   forwarded.answer = std::move(outcome.answer);
   forwarded.is_open = outcome.transaction != nullptr;
+  forwarded.primary_silence = this->primary_silence(group);
   if (outcome.transaction) {
     auto held = std::make_shared<Held>();
     held->transaction = std::move(outcome.transaction);
--- a/Libraries/LibRelay/forward_desk.h
+++ b/Libraries/LibRelay/forward_desk.h
@@ -19,10 +19,15 @@
  public:
   // Returns the way to a group of which this proxy is a home, or null.
   using FindHome = std::function<GroupAccess*(const GroupName&)>;
+  // Returns how long the primary of a group has been silent.
+  using PrimarySilence = std::function<Duration(const GroupName&)>;
   // How long a transaction may be idle.
   using IdleLimit = std::function<Duration()>;
 
-  ForwardDesk(Scheduler& scheduler, FindHome find_home, IdleLimit idle_limit);
+  ForwardDesk(Scheduler& scheduler,
+              FindHome find_home,
+              PrimarySilence primary_silence,
+              IdleLimit idle_limit);
   ~ForwardDesk();
 
   void Handle(const ForwardQuery& query, const PeerLinks::Answer& answer);
@@ -39,6 +44,7 @@
   using HeldPointer = std::shared_ptr<Held>;
 
   void DidFinish(const std::string& name,
+                 const GroupName& group,
                  WorkOutcome outcome,
                  const PeerLinks::Answer& answer);
   void DidContinue(const std::string& name,
@@ -51,6 +57,7 @@
 
   Scheduler& scheduler;
   FindHome find_home;
+  PrimarySilence primary_silence;
   IdleLimit idle_limit;
   std::map<std::string, HeldPointer> held_by_name;
   LifeGuard life;
--- a/Libraries/LibRelay/forward_desk_test.cc
+++ b/Libraries/LibRelay/forward_desk_test.cc
@@ -67,6 +67,7 @@
       [&](const GroupName&) -> GroupAccess* {
         return is_home ? &home : nullptr;
       },
+      [](const GroupName&) { return Duration(milliseconds(700)); },
       [] { return Duration(seconds(3)); });
   std::optional<PeerAnswer> answer;
   const auto take = [&](const PeerAnswer& given) { answer = given; };
@@ -95,6 +96,8 @@
     home.did_finish(std::move(outcome));
     CHECK(std::get<ForwardAnswer>(*answer).answer.rows.size() == 1);
     CHECK_FALSE(std::get<ForwardAnswer>(*answer).is_open);
+    CHECK(std::get<ForwardAnswer>(*answer).primary_silence ==
+          milliseconds(700));
   }
 
   SUBCASE("holds a transaction") {
--- a/Libraries/LibRelay/forwarding_group.cc
+++ b/Libraries/LibRelay/forwarding_group.cc
@@ -1,5 +1,6 @@
 #include "LibRelay/forwarding_group.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibDispatch/event_journal.h"
@@ -22,6 +23,9 @@
 // When a caller should come back while no home takes work: homes that are lost
 // are replaced within about this time.
 constexpr Duration kComeBack = std::chrono::milliseconds(400);
+// What a home said of the primary holds for this long; several statements a
+// second go to each group.
+constexpr Duration kWordLife = std::chrono::milliseconds(1500);
 constexpr Duration kEndTimeout = std::chrono::milliseconds(500);
 
 StatementAnswer Failed(StatementErrorCode code,
@@ -221,6 +225,25 @@
       }));
 }
 
+void ForwardingGroup::DidHearOfPrimary(const std::string& address,
+                                       Duration silence) {
+  const std::vector<Home> homes = this->context.homes();
+  const auto home =
+      std::find_if(homes.begin(), homes.end(),
+                   [&](const Home& known) { return known.address == address; });
+  // A home of another place says nothing of the paths from here.
+  if (home == homes.end() || home->place != this->context.place)
+    return;
+  this->told_silence = silence;
+  this->told_at = this->context.scheduler.Now();
+}
+
+Duration ForwardingGroup::PrimarySilence() const {
+  const bool is_recent =
+      this->context.scheduler.Now() - this->told_at < kWordLife;
+  return is_recent ? this->told_silence : Duration(0);
+}
+
 void ForwardingGroup::DidHangOn(const WorkPointer& work) {
   if (!work->is_finished)
     this->Try(work);
@@ -250,6 +273,7 @@
     return this->Try(work);
   }
   this->context.chooser.DidAnswer(address);
+  this->DidHearOfPrimary(address, forwarded->primary_silence);
   // Another attempt was answered first.
   if (work->is_finished) {
     if (forwarded->is_open)
--- a/Libraries/LibRelay/forwarding_group.h
+++ b/Libraries/LibRelay/forwarding_group.h
@@ -33,6 +33,8 @@
     // Shared by all groups: a proxy is a home of several.
     HomeChooser& chooser;
     GroupName group;
+    // Where this proxy is.
+    PlaceName place;
     Homes homes;
     // Makes the names of questions unique.
     std::string name_prefix;
@@ -45,6 +47,10 @@
   WorkNumber Submit(WorkRequest request, DidFinishWork did_finish) override;
   void Cancel(WorkNumber number) override;
 
+  // How long the primary has left the homes of this place without an answer, by
+  // their latest word; zero when there is none.
+  Duration PrimarySilence() const;
+
   size_t open_count() const { return this->work_by_number.size(); }
 
  private:
@@ -59,6 +65,7 @@
                   const std::string& name,
                   const std::optional<PeerAnswer>& answer);
   void DidLose(const WorkPointer& work);
+  void DidHearOfPrimary(const std::string& address, Duration silence);
   void DidHangOn(const WorkPointer& work);
   void Finish(const WorkPointer& work, WorkOutcome outcome);
   void Refuse(const WorkPointer& work);
@@ -70,6 +77,9 @@
 
   Context context;
   std::map<WorkNumber, WorkPointer> work_by_number;
+  // The latest word of a home of this place, and when it came.
+  Duration told_silence{};
+  TimePoint told_at{};
   WorkNumber next_number = 1;
   uint64_t next_name = 1;
   LifeGuard life;
--- a/Libraries/LibRelay/forwarding_group_test.cc
+++ b/Libraries/LibRelay/forwarding_group_test.cc
@@ -48,7 +48,7 @@
                              {"b", PlaceName{"tema-c"}}};
   ForwardingGroup group{ForwardingGroup::Context{
       scheduler, peers, journal, chooser, GroupName{"orders"},
-      [this] { return this->homes; }, "proxy"}};
+      PlaceName{"accra-a"}, [this] { return this->homes; }, "proxy"}};
   std::optional<WorkOutcome> outcome;
 
   GroupAccess::WorkNumber Submit(Kind kind) {
@@ -78,6 +78,28 @@
     CHECK(world.group.open_count() == 0);
   }
 
+  SUBCASE("brings word of the primary") {
+    world.scheduler.RunFor(std::chrono::seconds(10));
+    CHECK(world.group.PrimarySilence() == Duration(0));
+    ForwardAnswer answer = Served();
+    answer.primary_silence = milliseconds(600);
+    world.Submit(Kind::kRead);
+    world.peers.Answer(answer);
+    CHECK(world.group.PrimarySilence() == milliseconds(600));
+
+    SUBCASE("that holds for a moment") {
+      world.scheduler.RunFor(std::chrono::seconds(2));
+      CHECK(world.group.PrimarySilence() == Duration(0));
+    }
+
+    SUBCASE("but not from a home of another place") {
+      world.Submit(Kind::kRead);
+      world.peers.Answer(ForwardAnswer{});
+      world.peers.Answer(Served());
+      CHECK(world.group.PrimarySilence() == milliseconds(600));
+    }
+  }
+
   SUBCASE("goes to another home when the first could not be reached") {
     world.Submit(Kind::kWrite);
     world.peers.Answer(NotSent{});
