--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -40,6 +40,9 @@
 // all together make a bounded number of calls.
 constexpr Duration kStoreRetry = std::chrono::milliseconds(250);
 constexpr Duration kStoreRetryPerMember = std::chrono::milliseconds(10);
+// Members that start at the same moment change the table as often as there are
+// members; a few reads take all of that.
+constexpr Duration kChangePausePerMember = std::chrono::milliseconds(1);
 // Between two looks at what may have changed by time alone.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kBusyTickInterval = std::chrono::milliseconds(20);
@@ -436,6 +439,9 @@
     follower->SetRetryInterval(retry);
     follower->SetSource(source);
   }
+  // Proxies that start together all write their rows.
+  this->coordination.SetChangePause(kChangePausePerMember *
+                                    this->view.members().size());
 }
 
 void Gateway::AskForCopies() {
--- a/Libraries/LibTables/table_follower.cc
+++ b/Libraries/LibTables/table_follower.cc
@@ -80,6 +80,8 @@
     }
     this->answered_at = now;
     const auto& read = std::get<TableRows>(outcome);
+    if (!read.rows.empty())
+      pause = this->options.change_pause;
     if (read.version >= this->known_version.value_or(0)) {
       this->Apply(read, is_whole);
       this->needs_whole_read = false;
--- a/Libraries/LibTables/table_follower.h
+++ b/Libraries/LibTables/table_follower.h
@@ -26,6 +26,8 @@
     Duration interval;
     // The pause after a failed read.
     Duration retry_interval = std::chrono::milliseconds(250);
+    // The pause after a read that brought changes.
+    Duration change_pause{};
   };
 
   TableFollower(Scheduler& scheduler,
@@ -44,6 +46,10 @@
     this->options.retry_interval = interval;
   }
 
+  // Sets the pause after a read that brought changes, so that many changes in a
+  // row take few reads.
+  void SetChangePause(Duration pause) { this->options.change_pause = pause; }
+
   // Takes since when the store has answered the peer that sends copies. Without
   // effect while the store is read.
   void DidHearOfStore(std::optional<TimePoint> steady_since);
--- a/Libraries/LibTables/table_follower_test.cc
+++ b/Libraries/LibTables/table_follower_test.cc
@@ -66,6 +66,33 @@
   store.Answer(TableRows{{Row("a", 3), Row("b", 4)}, 5});
   scheduler.RunFor(milliseconds(1));
 
+  SUBCASE("takes many changes in a row with few reads") {
+    follower.SetChangePause(milliseconds(80));
+    store.Answer(TableRows{{Row("a", 6)}, 6});
+    scheduler.RunFor(milliseconds(79));
+    CHECK(store.calls.empty());
+    scheduler.RunFor(milliseconds(1));
+    CHECK(store.calls.size() == 1);
+  }
+
+  SUBCASE("may come from a peer that reads the store") {
+    follower.SetSource(TableFollower::Source::kPeer);
+    store.Answer(TableRows{{Row("late", 5)}, 6});
+    scheduler.RunFor(milliseconds(10));
+    CHECK(follower.version() == 5);
+    CHECK(store.calls.empty());
+    follower.TakeCopy(TableRows{{Row("a", 7)}, 7}, scheduler.Now());
+    CHECK(follower.version() == 7);
+    follower.DidHearOfStore(std::nullopt);
+    CHECK_FALSE(follower.steady_since().has_value());
+
+    SUBCASE("until the store is read again, from where the copy ended") {
+      follower.SetSource(TableFollower::Source::kStore);
+      REQUIRE(store.calls.size() == 1);
+      CHECK(store.calls.front().after == 7);
+    }
+  }
+
   SUBCASE("is whole at first, and as old as the sending of the read") {
     CHECK(follower.rows().size() == 2);
     CHECK(follower.read_at() == first_sent);
