--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -426,8 +426,10 @@
   const bool has_readers = !readers.empty();
   this->copy_follower.SetReaders(std::move(readers));
   const Duration age = now - this->coordination.read_at();
-  if (has_readers &&
-      (!this->copy_follower.is_working() || age > kReaderPatience))
+  // A hand-over waits for what it reads.
+  const bool is_urgent = !this->copy_follower.is_working() ||
+                         age > kReaderPatience || this->failover.is_active();
+  if (has_readers && is_urgent)
     this->direct_until = now + kDirectReading;
   const auto source = !has_readers || now < this->direct_until
                           ? TableFollower::Source::kStore
@@ -690,7 +692,9 @@
   }
   this->CloseSessionsAtRest();
   const bool is_over = elapsed >= this->options.drain_limit - kDrainReserve;
-  if (this->sessions.empty() || is_over)
+  const bool is_done = this->sessions.empty() && this->forward_desk.is_idle() &&
+                       this->loan_desk.loan_count() == 0;
+  if (is_done || is_over)
     this->FinishDrain();
 }
 
--- a/Libraries/LibRelay/forward_desk.cc
+++ b/Libraries/LibRelay/forward_desk.cc
@@ -52,6 +52,7 @@
   request.session_point = query.session_point;
   // Clocks of VMs are not compared; what the way took is not counted.
   request.received_at = this->scheduler.Now() - query.waited;
+  ++this->running;
   home->Submit(
       std::move(request),
       this->life.Wrap([this, name = query.name, group = query.route.group,
@@ -64,6 +65,7 @@
                             const GroupName& group,
                             WorkOutcome outcome,
                             const PeerLinks::Answer& answer) {
+  --this->running;
   ForwardAnswer forwarded;
   forwarded.is_taken = true;
   forwarded.answer = std::move(outcome.answer);
--- a/Libraries/LibRelay/forward_desk.h
+++ b/Libraries/LibRelay/forward_desk.h
@@ -39,6 +39,11 @@
 
   size_t transaction_count() const { return this->held_by_name.size(); }
 
+  // Whether no forwarded statement runs and no transaction is held.
+  bool is_idle() const {
+    return this->running == 0 && this->held_by_name.empty();
+  }
+
  private:
   struct Held;
   using HeldPointer = std::shared_ptr<Held>;
@@ -60,6 +65,8 @@
   PrimarySilence primary_silence;
   IdleLimit idle_limit;
   std::map<std::string, HeldPointer> held_by_name;
+  // Statements outside of transactions that have no answer yet.
+  size_t running = 0;
   LifeGuard life;
 };
 
--- a/Libraries/LibRelay/forward_desk_test.cc
+++ b/Libraries/LibRelay/forward_desk_test.cc
@@ -89,6 +89,13 @@
     CHECK(home.requests[0].record->values() == query.values);
   }
 
+  SUBCASE("is not idle before the answer, so a shutdown waits for it") {
+    desk.Handle(query, take);
+    CHECK_FALSE(desk.is_idle());
+    home.did_finish(WorkOutcome());
+    CHECK(desk.is_idle());
+  }
+
   SUBCASE("answers with what the target said") {
     desk.Handle(query, take);
     WorkOutcome outcome;
@@ -108,6 +115,7 @@
     outcome.transaction = std::make_unique<ScriptedTransaction>(log);
     home.did_finish(std::move(outcome));
     REQUIRE(std::get<ForwardAnswer>(*answer).is_open);
+    CHECK_FALSE(desk.is_idle());
     ContinueQuery next;
     next.name = query.name;
 
