LibGateway: Count the ages of held copies from the end of the wait

A copy's age was subtracted from the sending of the question, which a reader holds for up to 1.8 s, so copies looked older than 4.6 s. Leases of homes were shorter by the same.

Change: the answer says how long the question was held, and ages count from the end of that; a test fails without it.

--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -791,7 +791,6 @@
   this->Prune();
   // Connections are made before they are needed, off the path of statements.
   for (const auto& [name, view] : this->target_by_name) {
-    view->pool->CloseIdle();
     if (view->pool->open_count() + view->pool->opening_count() == 0)
       view->pool->Open();
   }
--- a/Libraries/LibGateway/copy_desk.cc
+++ b/Libraries/LibGateway/copy_desk.cc
@@ -15,23 +15,28 @@
     has_rows |= table.rows.has_value();
   if (!must_wait || has_rows)
     return answer(copies);
-  this->waiting.push_back(
-      Waiting{query, answer, this->scheduler.Now() + query.wait});
+  this->waiting.push_back(Waiting{query, answer, this->scheduler.Now()});
+}
+
+void CopyDesk::AnswerNow(const Waiting& waiter) {
+  CopyAnswer copies = this->make_copies(waiter.query);
+  copies.held = this->scheduler.Now() - waiter.received_at;
+  waiter.answer(copies);
 }
 
 void CopyDesk::DidRead() {
   for (const Waiting& waiter : std::exchange(this->waiting, {}))
-    waiter.answer(this->make_copies(waiter.query));
+    this->AnswerNow(waiter);
 }
 
 void CopyDesk::Tick() {
   const TimePoint now = this->scheduler.Now();
   std::vector<Waiting> still_waiting;
   for (Waiting& waiter : std::exchange(this->waiting, {})) {
-    if (now < waiter.until)
+    if (now < waiter.received_at + waiter.query.wait)
       still_waiting.push_back(std::move(waiter));
     else
-      waiter.answer(this->make_copies(waiter.query));
+      this->AnswerNow(waiter);
   }
   for (Waiting& waiter : still_waiting)
     this->waiting.push_back(std::move(waiter));
--- a/Libraries/LibGateway/copy_desk.h
+++ b/Libraries/LibGateway/copy_desk.h
@@ -34,9 +34,11 @@
   struct Waiting {
     CopyQuery query;
     PeerLinks::Answer answer;
-    TimePoint until;
+    TimePoint received_at;
   };
 
+  void AnswerNow(const Waiting& waiter);
+
   Scheduler& scheduler;
   MakeCopies make_copies;
   std::vector<Waiting> waiting;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -529,6 +529,9 @@
 }
 
 void Gateway::TakeCopies(const CopyAnswer& answer, TimePoint asked_at) {
+  // The peer got the question after it was sent and held it for a while; the
+  // ages in its answer count from the end of that.
+  const TimePoint made_at = asked_at + answer.held;
   const std::map<std::string, TableFollower*> followers = {
       {this->around.codec.configuration_table(), &this->configuration},
       {this->around.codec.targets_table(), &this->targets},
@@ -537,9 +540,7 @@
     const auto follower = followers.find(copy.table);
     if (follower == followers.end())
       continue;
-    // The answer was made after the question was sent, so its ages count from
-    // there.
-    const TimePoint read_at = asked_at - copy.age;
+    const TimePoint read_at = made_at - copy.age;
     std::optional<TimePoint> steady_since;
     if (copy.steady_for)
       steady_since = this->around.scheduler.Now() - *copy.steady_for;
@@ -554,7 +555,7 @@
   }
   for (const ProofCopy& proof : answer.proofs) {
     if (GroupDispatcher* dispatcher = this->FindGroup(proof.group))
-      dispatcher->TakeProof(proof.position, asked_at - proof.age);
+      dispatcher->TakeProof(proof.position, made_at - proof.age);
   }
 }
 
--- a/Libraries/LibLink/link_pool.cc
+++ b/Libraries/LibLink/link_pool.cc
@@ -20,10 +20,6 @@
 // round trip costs less than a statement that hangs.
 constexpr Duration kTrustedFor = std::chrono::milliseconds(1000);
 
-// Connections of a proxy beyond the first are closed after being idle for this
-// long: some pauses of steady traffic, while a new connection takes 12 ms of a
-// slot of its target.
-constexpr Duration kIdleLife = std::chrono::milliseconds(600);
 // Connections of other proxies to one target that this one uses at a time.
 constexpr size_t kMaximumBorrowed = 4;
 // After a peer refused or was not reached, before another one is asked.
@@ -148,23 +144,6 @@
          this->scheduler.Now() - link.last_answer_at() > kTrustedFor;
 }
 
-void LinkPool::CloseIdle() {
-  const TimePoint now = this->scheduler.Now();
-  const auto oldest = std::min_element(this->free.begin(), this->free.end(),
-                                       [](const auto& left, const auto& right) {
-                                         return left->last_answer_at() <
-                                                right->last_answer_at();
-                                       });
-  const size_t own = this->links.size() - this->borrowed.size();
-  if (oldest == this->free.end() || own <= 1 ||
-      now - (*oldest)->last_answer_at() < kIdleLife)
-    return;
-  const std::shared_ptr<TargetLink> link = *oldest;
-  this->free.erase(oldest);
-  link->Close();
-  this->Forget(link.get());
-}
-
 void LinkPool::Retire() {
   this->is_retired = true;
   for (const auto& link : std::exchange(this->free, {})) {
--- a/Libraries/LibLink/link_pool.h
+++ b/Libraries/LibLink/link_pool.h
@@ -57,11 +57,6 @@
   void Suspect(TimePoint moment) { this->suspected_at = moment; }
   bool needs_probe(const TargetLink& link) const;
 
-  // Closes connections that a burst has left behind: when all proxies lose
-  // power their connections stay at the target for seconds, and what the target
-  // still takes is all that the restarted proxies have.
-  void CloseIdle();
-
   // Closes all links that are not taken; taken ones are closed when they are
   // given back.
   void Retire();
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -128,7 +128,8 @@
       proofs.push_back(
           json::array({proof.group.value, proof.position.term.value,
                        proof.position.position.value, proof.age.count()}));
-    return json::array({kCopyAnswer, std::move(tables), std::move(proofs)});
+    return json::array({kCopyAnswer, std::move(tables), std::move(proofs),
+                        answer.held.count()});
   }
   json operator()(const ForwardQuery& query) const {
     return json::array({kForwardQuery, ToJson(query)});
@@ -174,6 +175,7 @@
     proof.age = Duration(value.at(3).get<int64_t>());
     answer.proofs.push_back(std::move(proof));
   }
+  answer.held = Duration(body.at(3).get<int64_t>());
   return answer;
 }
 
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -52,6 +52,8 @@
 struct CopyAnswer {
   std::vector<TableCopy> tables;
   std::vector<ProofCopy> proofs;
+  // How long the peer held the question: the ages count from the end of that.
+  Duration held{};
 };
 
 // Asks the peer to stop using a primary that the store shows as closing.
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -68,7 +68,9 @@
       sent.proofs = {ProofCopy{GroupName{"orders"},
                                LogPoint{Term{2}, Position{70}},
                                std::chrono::milliseconds(40)}};
+      sent.held = std::chrono::milliseconds(1700);
       const CopyAnswer received = BackThroughTheWire(sent);
+      CHECK(received.held == sent.held);
       REQUIRE(received.tables.size() == 2);
       CHECK(received.tables[0].rows->rows == whole.rows->rows);
       CHECK(received.tables[0].age == whole.age);
