platform: Soak real proxies with faults from outside; wait for a read's first home

A test fails without the change. Log lines of a transaction's start had no request id; they have the caller's now.

The soak runs kingcupmill-edge as processes of their own before the emulator's store, servers and callers on sockets; Meta/soak.sh starts them again, signals, relays and the store bring the faults. The emulator's callers reach proxies through ports, so that the same ones serve both.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -420,6 +420,7 @@
       std::upper_bound(ring.begin(), ring.end(), place_of(address));
   std::rotate(ring.begin(), next, ring.end());
   std::vector<std::string> followers;
+  followers.reserve(ring.size());
   for (auto& [hash, follower] : ring)
     followers.push_back(std::move(follower));
   return followers;
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -198,8 +198,7 @@
     return;
   this->journal.Write(EventJournal::Kind::kRouted,
                       "event=second_attempt request={} group={} silent={}",
-                      work->request.command.request_id, this->group.value,
-                      target.value);
+                      work->request.caller_id, this->group.value, target.value);
   if (!work->request.needs_primary)
     work->avoided.insert(target);
   this->Requeue(work);
@@ -462,7 +461,7 @@
       EventJournal::Kind::kRouted,
       "event=routed request={} group={} target={} primary={} after={}.{} "
       "waited_ms={:.1f} attempt={} in_flight={}",
-      command.request_id, this->group.value, choice.target->entry.name.value,
+      request.caller_id, this->group.value, choice.target->entry.name.value,
       choice.lease.has_value(),
       choice.required_position ? choice.required_position->term.value : 0,
       choice.required_position ? choice.required_position->position.value : 0,
@@ -547,8 +546,8 @@
   this->journal.Write(EventJournal::Kind::kFailed,
                       "event=target_refused request={} group={} target={} "
                       "code={} message=\"{}\"",
-                      work->request.command.request_id, this->group.value,
-                      name.value, static_cast<int>(answer.error->code),
+                      work->request.caller_id, this->group.value, name.value,
+                      static_cast<int>(answer.error->code),
                       answer.error->message);
   switch (answer.error->code) {
     case StatementErrorCode::kBusy:
@@ -590,7 +589,7 @@
       EventJournal::Kind::kRefused,
       "event=refused request={} group={} waits_for=\"{}\" waited_ms={} "
       "attempts={} queue={} primary_silent_ms={} come_back_ms={}",
-      work->request.command.request_id, this->group.value, reason,
+      work->request.caller_id, this->group.value, reason,
       ToMilliseconds(this->scheduler.Now() - work->request.received_at),
       work->attempts, this->queue.size(),
       ToMilliseconds(this->PrimarySilence()), ToMilliseconds(come_back));
--- a/Libraries/LibDispatch/work_request.h
+++ b/Libraries/LibDispatch/work_request.h
@@ -20,6 +20,9 @@
 struct WorkRequest {
   CallerRoute route;
   TargetCommand command;
+  // The id of the caller's statement, for the log. The start of a transaction
+  // is the proxy's own command and has none.
+  std::string caller_id;
   // Only the primary can run it.
   bool needs_primary = false;
   // It changes data when it runs, so it is sent once only.
--- a/Libraries/LibEmulator/emulated_caller.cc
+++ b/Libraries/LibEmulator/emulated_caller.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "LibGateway/gateway_session.h"
-
 namespace kingcupmill {
 
 namespace {
@@ -29,16 +27,16 @@
 
 }  // namespace
 
-EmulatedCaller::EmulatedCaller(VirtualScheduler& scheduler,
+EmulatedCaller::EmulatedCaller(Scheduler& scheduler,
                                PromiseChecker& checker,
-                               ChooseNode choose_node,
+                               OpenCallerPort open_port,
                                std::string name,
                                std::string database,
                                CallerRoute route,
                                uint64_t seed)
     : scheduler(scheduler),
       checker(checker),
-      choose_node(std::move(choose_node)),
+      open_port(std::move(open_port)),
       name(std::move(name)),
       database(std::move(database)),
       route(std::move(route)),
@@ -57,24 +55,11 @@
     return;
   this->scheduler.PostAfter(
       std::chrono::milliseconds(1 + this->random.Below(kLongestThoughtMs)),
-      [this] { this->Act(); });
-}
-
-bool EmulatedCaller::is_connected() {
-  return this->session && this->node && this->node->gateway() &&
-         this->node->start_count() == this->node_start;
-}
-
-void EmulatedCaller::DidLoseNode(const EmulatedNode* lost) {
-  if (this->node == lost)
-    this->Disconnect();
+      this->life.Wrap([this] { this->Act(); }));
 }
 
 void EmulatedCaller::Disconnect() {
-  if (this->is_connected()) {
-    this->node->gateway()->DidCloseSession(this->session.get());
-    this->session.reset();
-  }
+  this->port.reset();
   this->is_in_transaction = false;
   this->outstanding.clear();
 }
@@ -83,17 +68,13 @@
   if (this->is_connected())
     return true;
   this->Disconnect();
-  this->node = this->choose_node();
-  if (!this->node || !this->node->gateway())
-    return false;
-  this->node_start = this->node->start_count();
-  this->session = this->node->gateway()->OpenSession(*this, this->database);
+  this->port = this->open_port(*this, this->database);
   ++this->session_number;
   this->values.clear();
   this->own_commit.reset();
   this->is_prepared = false;
   this->has_prepared_read = false;
-  return this->session != nullptr;
+  return this->port != nullptr;
 }
 
 void EmulatedCaller::Act() {
@@ -123,7 +104,7 @@
     return statement;
   }
   statement.kind = is_write ? StatementKind::kWrite : StatementKind::kRead;
-  statement.text = is_write ? "write item" : "read item";
+  statement.text = is_write ? "WRITE item data" : "READ item";
   return statement;
 }
 
@@ -145,7 +126,7 @@
   this->outstanding = statement.id;
   this->sent_at = this->scheduler.Now();
   ++this->counted.sent;
-  this->session->DidReceive(std::move(statement));
+  this->port->Send(std::move(statement));
 }
 
 void EmulatedCaller::StartOperation() {
@@ -204,7 +185,7 @@
   CallerStatement end;
   const bool is_rollback = this->random.Below(8) == 0;
   end.kind = is_rollback ? StatementKind::kRollback : StatementKind::kCommit;
-  end.text = is_rollback ? "rollback" : "commit";
+  end.text = is_rollback ? "ROLLBACK" : "COMMIT";
   this->expected_step = is_rollback ? Step::kRollback : Step::kCommit;
   this->SendStatement(std::move(end), false);
 }
@@ -228,7 +209,7 @@
     this->is_in_transaction = false;
     // A failed transaction is left by closing the session.
     if (answer.state != SessionState::kIdle)
-      this->scheduler.Post([this] { this->Disconnect(); });
+      this->scheduler.Post(this->life.Wrap([this] { this->Disconnect(); }));
   } else {
     ++this->counted.succeeded;
     if (is_end && this->did_write) {
@@ -242,7 +223,7 @@
 }
 
 void EmulatedCaller::Close() {
-  this->scheduler.Post([this] { this->Disconnect(); });
+  this->scheduler.Post(this->life.Wrap([this] { this->Disconnect(); }));
 }
 
 }  // namespace kingcupmill
--- a/Libraries/LibEmulator/emulated_caller.h
+++ b/Libraries/LibEmulator/emulated_caller.h
@@ -7,16 +7,17 @@
 #include <optional>
 #include <string>
 
+#include "LibCore/life_guard.h"
 #include "LibCore/random_source.h"
-#include "LibCore/virtual_scheduler.h"
+#include "LibCore/scheduler.h"
 #include "LibDirectory/route_table.h"
-#include "LibEmulator/emulated_node.h"
+#include "LibEmulator/caller_port.h"
 #include "LibEmulator/promise_checker.h"
 #include "LibGateway/caller_channel.h"
 
 namespace kingcupmill {
 
-// One caller: opens sessions at a proxy and runs statements, transactions and
+// One caller: opens sessions at proxies and runs statements, transactions and
 // settings at random, never twice the same attempt.
 class EmulatedCaller final : public CallerChannel {
  public:
@@ -27,12 +28,9 @@
     uint64_t in_doubt = 0;
     uint64_t writes_succeeded = 0;
   };
-  // Returns a proxy that runs, or null.
-  using ChooseNode = std::function<EmulatedNode*()>;
-
-  EmulatedCaller(VirtualScheduler& scheduler,
+  EmulatedCaller(Scheduler& scheduler,
                  PromiseChecker& checker,
-                 ChooseNode choose_node,
+                 OpenCallerPort open_port,
                  std::string name,
                  std::string database,
                  CallerRoute route,
@@ -43,8 +41,8 @@
   void Stop() { this->is_stopped = true; }
   const Counts& counts() const { return this->counted; }
 
-  // The process of a proxy is about to end; its connections with it.
-  void DidLoseNode(const EmulatedNode* lost);
+  // The process of the proxy has ended or is about to; its sessions with it.
+  void Disconnect();
 
   // CallerChannel:
   void Send(const StatementAnswer& answer) override;
@@ -57,20 +55,17 @@
   void StartOperation();
   void NextInTransaction();
   void SendStatement(CallerStatement statement, bool is_write);
-  void Disconnect();
-  bool is_connected();
+  bool is_connected() const { return this->port && this->port->is_open(); }
   CallerStatement MakeStatement(bool is_write);
 
-  VirtualScheduler& scheduler;
+  Scheduler& scheduler;
   PromiseChecker& checker;
-  ChooseNode choose_node;
+  OpenCallerPort open_port;
   std::string name;
   std::string database;
   CallerRoute route;
   SeededRandom random;
-  EmulatedNode* node = nullptr;
-  uint64_t node_start = 0;
-  std::unique_ptr<GatewaySession> session;
+  std::unique_ptr<CallerPort> port;
   uint64_t session_number = 0;
   SessionRecord::Values values;
   std::optional<CommitEntry> own_commit;
@@ -93,6 +88,7 @@
   bool is_prepared = false;
   bool is_stopped = false;
   Counts counted;
+  LifeGuard life;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibEmulator/emulated_group.cc
+++ b/Libraries/LibEmulator/emulated_group.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-EmulatedGroup::EmulatedGroup(VirtualScheduler& scheduler,
+EmulatedGroup::EmulatedGroup(Scheduler& scheduler,
                              PromiseChecker& checker,
                              GroupName name,
                              uint64_t seed)
--- a/Libraries/LibEmulator/emulated_group.h
+++ b/Libraries/LibEmulator/emulated_group.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "LibCore/names.h"
-#include "LibCore/virtual_scheduler.h"
+#include "LibCore/scheduler.h"
 #include "LibEmulator/emulated_target.h"
 #include "LibEmulator/promise_checker.h"
 
@@ -19,7 +19,7 @@
 // Three targets that replicate, and the outside authority's power over them.
 class EmulatedGroup {
  public:
-  EmulatedGroup(VirtualScheduler& scheduler,
+  EmulatedGroup(Scheduler& scheduler,
                 PromiseChecker& checker,
                 GroupName name,
                 uint64_t seed);
@@ -47,7 +47,7 @@
   void Replicate();
   void TakeOver(size_t index);
 
-  VirtualScheduler& scheduler;
+  Scheduler& scheduler;
   PromiseChecker& checker;
   GroupName group_name;
   std::vector<std::unique_ptr<EmulatedTarget>> members;
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -4,6 +4,7 @@
 
 #include "LibCore/life_guard.h"
 #include "LibCore/verify.h"
+#include "LibGateway/gateway_session.h"
 #include "LibPeer/peer_query.h"
 
 namespace kingcupmill {
@@ -228,6 +229,8 @@
   Links links;
   Authority authority;
   Gateway gateway;
+  // Destroyed before the proxy that they are sessions of.
+  std::map<SessionNumber, std::unique_ptr<GatewaySession>> sessions;
 };
 
 EmulatedNode::EmulatedNode(Surroundings around,
@@ -268,6 +271,34 @@
     this->process->store.SetFault(fault);
 }
 
+std::optional<EmulatedNode::SessionNumber> EmulatedNode::OpenSession(
+    CallerChannel& channel,
+    const std::string& database) {
+  if (!this->process)
+    return std::nullopt;
+  auto session = this->process->gateway.OpenSession(channel, database);
+  if (!session)
+    return std::nullopt;
+  const SessionNumber number = this->next_session++;
+  this->process->sessions.emplace(number, std::move(session));
+  return number;
+}
+
+bool EmulatedNode::has_session(SessionNumber number) const {
+  return this->process && this->process->sessions.contains(number);
+}
+
+void EmulatedNode::SendTo(SessionNumber number, CallerStatement statement) {
+  this->process->sessions.at(number)->DidReceive(std::move(statement));
+}
+
+void EmulatedNode::CloseSession(SessionNumber number) {
+  if (!this->has_session(number))
+    return;
+  const auto closed = this->process->sessions.extract(number);
+  this->process->gateway.DidCloseSession(closed.mapped().get());
+}
+
 Gateway* EmulatedNode::gateway() {
   return this->process ? &this->process->gateway : nullptr;
 }
--- a/Libraries/LibEmulator/emulated_node.h
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -66,10 +67,18 @@
 
   // Null while the process is down.
   Gateway* gateway();
+
+  // Sessions of callers. They end with the process.
+  using SessionNumber = uint64_t;
+  // Returns nothing when the process is down or knows no such database.
+  std::optional<SessionNumber> OpenSession(CallerChannel& channel,
+                                           const std::string& database);
+  bool has_session(SessionNumber number) const;
+  void SendTo(SessionNumber number, CallerStatement statement);
+  void CloseSession(SessionNumber number);
+
   const std::string& address() const { return this->node_address; }
   bool is_frozen() const;
-  // Counts the starts: sessions of an earlier one are gone.
-  uint64_t start_count() const { return this->starts; }
 
  private:
   class Dialer;
@@ -82,6 +91,7 @@
   PlaceName place;
   std::unique_ptr<Process> process;
   uint64_t starts = 0;
+  SessionNumber next_session = 1;
   TimePoint frozen_until{};
   EmulatedStoreAccess::Fault store_fault = EmulatedStoreAccess::Fault::kNone;
 };
--- a/Libraries/LibEmulator/emulated_store.h
+++ b/Libraries/LibEmulator/emulated_store.h
@@ -17,7 +17,7 @@
 // A small stand-in for the platform's store. It keeps every change.
 class EmulatedStore {
  public:
-  explicit EmulatedStore(VirtualScheduler& scheduler) : scheduler(scheduler) {}
+  explicit EmulatedStore(Scheduler& scheduler) : scheduler(scheduler) {}
 
   // Returns a whole table, and the changes of a table after a version.
   TableRows Snapshot(const std::string& table) const;
@@ -46,7 +46,7 @@
   void Write(const std::string& table, StoreRow row);
   void Wake(const std::string& table);
 
-  VirtualScheduler& scheduler;
+  Scheduler& scheduler;
   std::map<std::string, Table> tables;
   std::vector<Change> changes;
   std::map<std::string, std::vector<std::function<void()>>> waiting;
--- a/Libraries/LibEmulator/emulated_target.cc
+++ b/Libraries/LibEmulator/emulated_target.cc
@@ -13,12 +13,12 @@
 bool is_write(const TargetCommand& command) {
   return command.kind == TargetCommandKind::kExecute
              ? command.shape.access == StatementAccess::kWrite
-             : command.text.starts_with("write");
+             : command.text.starts_with("WRITE");
 }
 
 bool is_commit(const TargetCommand& command) {
   return command.kind == TargetCommandKind::kStatement &&
-         command.text == "commit";
+         command.text == "COMMIT";
 }
 
 // Only callers' statements work; the rest is answered at once.
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-EmulatedTarget::EmulatedTarget(VirtualScheduler& scheduler,
+EmulatedTarget::EmulatedTarget(Scheduler& scheduler,
                                PromiseChecker& checker,
                                GroupName group,
                                TargetName name,
--- a/Libraries/LibEmulator/emulated_target.h
+++ b/Libraries/LibEmulator/emulated_target.h
@@ -13,7 +13,7 @@
 
 #include "LibCore/names.h"
 #include "LibCore/random_source.h"
-#include "LibCore/virtual_scheduler.h"
+#include "LibCore/scheduler.h"
 #include "LibEmulator/promise_checker.h"
 #include "LibLink/target_command.h"
 #include "LibStatement/statement_answer.h"
@@ -39,7 +39,7 @@
 // A small stand-in for one database server: a log, a role, two slots, sessions.
 class EmulatedTarget {
  public:
-  EmulatedTarget(VirtualScheduler& scheduler,
+  EmulatedTarget(Scheduler& scheduler,
                  PromiseChecker& checker,
                  GroupName group,
                  TargetName name,
@@ -89,7 +89,7 @@
   void Append(const std::string& attempt);
   bool has(const LogPoint& point) const;
 
-  VirtualScheduler& scheduler;
+  Scheduler& scheduler;
   PromiseChecker& checker;
   GroupName group;
   TargetName target_name;
--- a/Libraries/LibEmulator/emulated_world.cc
+++ b/Libraries/LibEmulator/emulated_world.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "LibEmulator/node_caller_port.h"
+
 namespace kingcupmill {
 
 namespace {
@@ -164,15 +166,22 @@
     route.maximum_staleness = std::chrono::milliseconds(1500);
     this->callers.push_back(std::make_unique<EmulatedCaller>(
         this->scheduler, this->promise_checker,
-        [this] { return this->RandomNode(); }, "c" + std::to_string(index),
+        [this](CallerChannel& channel, const std::string& database) {
+          return this->OpenPort(channel, database);
+        },
+        "c" + std::to_string(index),
         route.group.value + "/" + std::to_string(static_cast<int>(kind)), route,
         this->options.seed * 977 + index));
     this->callers.back()->Start();
   }
 }
 
-EmulatedNode* EmulatedWorld::RandomNode() {
-  return this->nodes[this->random.Below(this->nodes.size())].get();
+std::unique_ptr<CallerPort> EmulatedWorld::OpenPort(
+    CallerChannel& channel,
+    const std::string& database) {
+  EmulatedNode& node = *this->nodes[this->random.Below(this->nodes.size())];
+  const auto number = node.OpenSession(channel, database);
+  return number ? std::make_unique<NodeCallerPort>(node, *number) : nullptr;
 }
 
 EmulatedTarget& EmulatedWorld::RandomTarget() {
@@ -188,8 +197,6 @@
   EmulatedNode& node = *this->nodes[index];
   if (!node.gateway())
     return;
-  for (const auto& caller : this->callers)
-    caller->DidLoseNode(&node);
   node.Kill();
   this->scheduler.PostAfter(down, [this, index] {
     if (!this->nodes[index]->gateway())
--- a/Libraries/LibEmulator/emulated_world.h
+++ b/Libraries/LibEmulator/emulated_world.h
@@ -71,7 +71,8 @@
                      bool is_leaving);
   void PublishRoles();
   void PublishConfiguration();
-  EmulatedNode* RandomNode();
+  std::unique_ptr<CallerPort> OpenPort(CallerChannel& channel,
+                                       const std::string& database);
   EmulatedTarget& RandomTarget();
   GroupName GroupOf(const TargetName& target);
 
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -375,7 +375,7 @@
       forwarding = std::make_unique<ForwardingGroup>(ForwardingGroup::Context{
           this->around.scheduler, this->around.peers, this->journal,
           this->home_chooser, group, this->options.place,
-          [this, group] {
+          [this, group = group] {
             std::vector<Home> homes = this->roles.HomesOf(group);
             std::erase_if(homes, [this](const Home& home) {
               return home.address == this->options.peer_address;
--- a/Libraries/LibGateway/gateway_session.cc
+++ b/Libraries/LibGateway/gateway_session.cc
@@ -202,6 +202,7 @@
   WorkRequest request;
   request.route = *route;
   request.command = this->CommandFor(statement);
+  request.caller_id = statement.id;
   request.is_write = access == StatementAccess::kWrite;
   request.needs_primary =
       request.is_write || route->kind == RouteKind::kPrimary;
@@ -247,6 +248,7 @@
   request.needs_primary =
       !this->is_read_only || route->kind == RouteKind::kPrimary;
   request.opens_transaction = true;
+  request.caller_id = statement.id;
   request.record = this->record;
   if (route->kind == RouteKind::kReadYourWrites)
     request.session_point = this->last_commit;
--- a/Libraries/LibMembership/home_set.cc
+++ b/Libraries/LibMembership/home_set.cc
@@ -34,6 +34,7 @@
               return left.second->vm < right.second->vm;
             });
   std::vector<const Member*> ranked;
+  ranked.reserve(scored.size());
   for (const auto& [score, member] : scored)
     ranked.push_back(member);
   return ranked;
--- a/Libraries/LibPeer/forward_query.cc
+++ b/Libraries/LibPeer/forward_query.cc
@@ -46,7 +46,8 @@
   return json::array({query.name, ToJson(query.route), ToJson(query.command),
                       query.needs_primary, query.is_write,
                       query.opens_transaction, ToJson(query.values),
-                      ToJson(query.session_point), query.waited.count()});
+                      ToJson(query.session_point), query.waited.count(),
+                      query.caller_id});
 }
 
 ForwardQuery ForwardQueryFromJson(const json& value) {
@@ -60,6 +61,7 @@
   query.values = ValuesFromJson(value.at(6));
   query.session_point = PointFromJson(value.at(7));
   query.waited = Duration(value.at(8).get<int64_t>());
+  query.caller_id = value.at(9);
   return query;
 }
 
--- a/Libraries/LibPeer/forward_query.h
+++ b/Libraries/LibPeer/forward_query.h
@@ -22,6 +22,8 @@
   std::string name;
   CallerRoute route;
   TargetCommand command;
+  // The id of the caller's statement, for the log.
+  std::string caller_id;
   bool needs_primary = false;
   bool is_write = false;
   bool opens_transaction = false;
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -132,6 +132,7 @@
                       sent.route.maximum_staleness =
                           std::chrono::milliseconds(1500);
                       sent.command.text = text;
+                      sent.caller_id = "id";
                       sent.is_write = is_write;
                       sent.values = {{"zone", std::to_string(value.size())}};
                       sent.session_point = LogPoint{Term{2}, Position{70}};
@@ -139,6 +140,7 @@
                       const ForwardQuery received = ThroughTheWire(sent);
                       RC_ASSERT(received.route == sent.route);
                       RC_ASSERT(received.command.text == text);
+                      RC_ASSERT(received.caller_id == sent.caller_id);
                       RC_ASSERT(received.is_write == is_write);
                       RC_ASSERT(received.values == sent.values);
                       RC_ASSERT(received.session_point == sent.session_point);
--- a/Libraries/LibRelay/forward_desk.cc
+++ b/Libraries/LibRelay/forward_desk.cc
@@ -45,6 +45,7 @@
   WorkRequest request;
   request.route = query.route;
   request.command = query.command;
+  request.caller_id = query.caller_id;
   request.needs_primary = query.needs_primary;
   request.is_write = query.is_write;
   request.opens_transaction = query.opens_transaction;
--- a/Libraries/LibRelay/forwarding_group.cc
+++ b/Libraries/LibRelay/forwarding_group.cc
@@ -199,6 +199,7 @@
       this->context.name_prefix + "." + std::to_string(this->next_name++);
   query.route = request.route;
   query.command = request.command;
+  query.caller_id = request.caller_id;
   query.needs_primary = request.needs_primary;
   query.is_write = request.is_write;
   query.opens_transaction = request.opens_transaction;
@@ -209,9 +210,8 @@
       EventJournal::Kind::kRouted,
       "event=forwarded request={} group={} home={} attempt={} in_flight={} "
       "waited_ms={}",
-      request.command.request_id, this->context.group.value, address,
-      work->attempts, this->context.chooser.in_flight(address),
-      ToMilliseconds(query.waited));
+      request.caller_id, this->context.group.value, address, work->attempts,
+      this->context.chooser.in_flight(address), ToMilliseconds(query.waited));
   const bool is_repeatable = !request.is_write && !request.opens_transaction;
   if (is_repeatable && work->attempts == 1)
     work->hedge_timer = this->context.scheduler.PostAfter(
@@ -280,6 +280,9 @@
       this->End(address, name);
     return;
   }
+  // The second home of a read has less time for it; the first may still answer.
+  if (forwarded->answer.error && work->running > 0)
+    return;
   WorkOutcome outcome;
   outcome.answer = forwarded->answer;
   if (forwarded->is_open)
@@ -320,7 +323,7 @@
       EventJournal::Kind::kRefused,
       "event=refused request={} group={} waits_for=\"a home\" waited_ms={} "
       "attempts={} come_back_ms={}",
-      work->request.command.request_id, this->context.group.value,
+      work->request.caller_id, this->context.group.value,
       ToMilliseconds(this->context.scheduler.Now() - work->request.received_at),
       work->attempts, ToMilliseconds(kComeBack));
   WorkOutcome outcome;
--- a/Libraries/LibRelay/forwarding_group_test.cc
+++ b/Libraries/LibRelay/forwarding_group_test.cc
@@ -146,6 +146,20 @@
     }
   }
 
+  SUBCASE("that reads is not refused while the first home may answer") {
+    world.Submit(Kind::kRead);
+    const auto first = world.peers.TakeOldest();
+    world.scheduler.RunFor(milliseconds(260));
+    ForwardAnswer refusal = Served();
+    refusal.answer.error =
+        StatementError{StatementErrorCode::kBusy, "no time left"};
+    world.peers.Answer(refusal);
+    CHECK_FALSE(world.outcome.has_value());
+    first.did_answer(Served());
+    REQUIRE(world.outcome.has_value());
+    CHECK_FALSE(world.error().has_value());
+  }
+
   SUBCASE("that writes is not sent again while the home is silent") {
     world.Submit(Kind::kWrite);
     world.peers.TakeOldest();
--- /dev/null
+++ b/Meta/soak.sh
@@ -0,0 +1,49 @@
+#!/usr/bin/env bash
+# Runs proxies as processes of their own under faults from outside, once for
+# each seed: Meta/soak.sh FIRST_SEED COUNT [PROXIES] [FAULT_SECONDS] [PORT]
+# Logs of a seed that failed stay in build/soak.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+first=$1
+count=$2
+proxies=${3:-5}
+seconds=${4:-14}
+port=${5:-21000}
+failed=0
+
+# Starts proxy $2 of the run in folder $1 again whenever it ends.
+keep_running() {
+  while [ ! -e "$1/stop" ]; do
+    build/kingcupmill-edge --settings "$1/proxy-$2.toml" >>"$1/proxy-$2.log" 2>&1 &
+    echo $! >"$1/proxy-$2.pid"
+    wait $! 2>/dev/null || true
+    rm -f "$1/proxy-$2.pid"
+    sleep 0.3
+  done
+}
+
+for ((seed = first; seed < first + count; seed++)); do
+  folder=build/soak/$seed-$proxies
+  rm -rf "$folder"
+  mkdir -p "$folder"
+  build/kingcupmill-soak --seed "$seed" --proxies "$proxies" --folder "$folder" \
+    --fault-seconds "$seconds" --base-port "$port" >"$folder/soak.log" 2>&1 &
+  soak=$!
+  until [ -e "$folder/ready" ] || ! kill -0 "$soak" 2>/dev/null; do sleep 0.05; done
+  keepers=()
+  for ((index = 0; index < proxies; index++)); do
+    keep_running "$folder" "$index" &
+    keepers+=($!)
+  done
+  code=0
+  wait "$soak" || code=$?
+  touch "$folder/stop"
+  for pid in "$folder"/proxy-*.pid; do
+    [ -e "$pid" ] && kill -KILL "$(cat "$pid")" 2>/dev/null || true
+  done
+  for keeper in "${keepers[@]}"; do wait "$keeper" 2>/dev/null || true; done
+  grep -h '^seed ' "$folder/soak.log" || cat "$folder/soak.log"
+  if [ "$code" -eq 0 ]; then rm -rf "$folder"; else failed=$((failed + 1)); fi
+done
+echo "soak: $count seeds, $failed failed"
+[ "$failed" -eq 0 ]
