LibGateway: End a drain with nothing in flight

Cause: a drain ended at a moment in time, whatever was under way.

Change: DrainPlan derives all steps from the grace. From the middle on no session and no transaction begins, and a statement is taken only if its route's limit ends before the drain does; else it is refused as not run and the session is closed after the answer. What still runs at the end is answered, by a home too: as in doubt, or as aborted within a transaction.

The emulator stops proxies by a signal as well as by a kill, and its checker knows LOST. It found one fault of this change: a session that was opened in the last 100 ms of a drain that had already ended was cut.

Before: the test of slow targets fails with LOST.

--- a/Libraries/LibEmulator/emulated_caller.cc
+++ b/Libraries/LibEmulator/emulated_caller.cc
@@ -223,6 +223,8 @@
 }
 
 void EmulatedCaller::Close() {
+  if (!this->outstanding.empty())
+    this->checker.DidCut(this->outstanding);
   this->scheduler.Post(this->life.Wrap([this] { this->Disconnect(); }));
 }
 
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -1,6 +1,7 @@
 #include "LibEmulator/emulated_node.h"
 
 #include <utility>
+#include <vector>
 
 #include "LibCore/life_guard.h"
 #include "LibCore/verify.h"
@@ -229,8 +230,12 @@
   Links links;
   Authority authority;
   Gateway gateway;
+  struct OpenCaller {
+    CallerChannel* channel = nullptr;
+    std::unique_ptr<GatewaySession> session;
+  };
   // Destroyed before the proxy that they are sessions of.
-  std::map<SessionNumber, std::unique_ptr<GatewaySession>> sessions;
+  std::map<SessionNumber, OpenCaller> sessions;
 };
 
 EmulatedNode::EmulatedNode(Surroundings around,
@@ -254,6 +259,40 @@
   this->process.reset();
 }
 
+void EmulatedNode::Stop(Duration grace, std::function<void()> did_end) {
+  if (!this->process)
+    return;
+  this->did_end_stop = std::move(did_end);
+  const uint64_t stopped_start = this->starts;
+  const TimePoint stopped_at = this->around.world.Now();
+  this->process->scheduler.Post([this, stopped_start] {
+    this->process->gateway.Drain([this, stopped_start] {
+      this->around.world.Post(
+          [this, stopped_start] { this->DidStop(stopped_start); });
+    });
+  });
+  this->around.world.PostAfter(grace, [this, stopped_start, stopped_at] {
+    // A process that was suspended had no chance to end by itself.
+    if (this->frozen_until > stopped_at && this->process &&
+        this->starts == stopped_start)
+      this->process->sessions.clear();
+    this->DidStop(stopped_start);
+  });
+}
+
+void EmulatedNode::DidStop(uint64_t stopped_start) {
+  if (!this->process || this->starts != stopped_start || !this->did_end_stop)
+    return;
+  // Callers see the end of each connection that is still open.
+  std::vector<CallerChannel*> open;
+  for (const auto& [number, caller] : this->process->sessions)
+    open.push_back(caller.channel);
+  this->Kill();
+  for (CallerChannel* channel : open)
+    channel->Close();
+  std::exchange(this->did_end_stop, nullptr)();
+}
+
 void EmulatedNode::Freeze(Duration duration) {
   if (!this->process)
     return;
@@ -276,11 +315,14 @@
     const std::string& database) {
   if (!this->process)
     return std::nullopt;
+  if (!this->process->gateway.takes_sessions())
+    return std::nullopt;
   auto session = this->process->gateway.OpenSession(channel, database);
   if (!session)
     return std::nullopt;
   const SessionNumber number = this->next_session++;
-  this->process->sessions.emplace(number, std::move(session));
+  this->process->sessions.emplace(
+      number, Process::OpenCaller{&channel, std::move(session)});
   return number;
 }
 
@@ -289,14 +331,14 @@
 }
 
 void EmulatedNode::SendTo(SessionNumber number, CallerStatement statement) {
-  this->process->sessions.at(number)->DidReceive(std::move(statement));
+  this->process->sessions.at(number).session->DidReceive(std::move(statement));
 }
 
 void EmulatedNode::CloseSession(SessionNumber number) {
   if (!this->has_session(number))
     return;
   const auto closed = this->process->sessions.extract(number);
-  this->process->gateway.DidCloseSession(closed.mapped().get());
+  this->process->gateway.DidCloseSession(*closed.mapped().session);
 }
 
 Gateway* EmulatedNode::gateway() {
--- a/Libraries/LibEmulator/emulated_node.h
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -62,6 +62,9 @@
 
   void Start(uint64_t seed);
   void Kill();
+  // Asks the process to stop, as a signal does, and kills it when it still runs
+  // after `grace`. Calls `did_end` once the process is gone.
+  void Stop(Duration grace, std::function<void()> did_end);
   void Freeze(Duration duration);
   void SetStoreFault(EmulatedStoreAccess::Fault fault);
 
@@ -86,11 +89,14 @@
   class Authority;
   struct Process;
 
+  void DidStop(uint64_t stopped_start);
+
   Surroundings around;
   std::string node_address;
   PlaceName place;
   std::unique_ptr<Process> process;
   uint64_t starts = 0;
+  std::function<void()> did_end_stop;
   SessionNumber next_session = 1;
   TimePoint frozen_until{};
   EmulatedStoreAccess::Fault store_fault = EmulatedStoreAccess::Fault::kNone;
--- a/Libraries/LibEmulator/emulated_target.cc
+++ b/Libraries/LibEmulator/emulated_target.cc
@@ -125,7 +125,8 @@
   session->is_busy = true;
   const Duration work = needs_work(session->commands.front())
                             ? Duration(std::chrono::milliseconds(
-                                  1 + this->random.Below(kLongestWorkMs)))
+                                  1 + this->random.Below(kLongestWorkMs))) *
+                                  this->slowdown
                             : Duration(std::chrono::microseconds(100));
   // The statement runs at the end of its work.
   this->scheduler.PostAfter(work, [this, session] {
--- a/Libraries/LibEmulator/emulated_target.h
+++ b/Libraries/LibEmulator/emulated_target.h
@@ -56,6 +56,9 @@
   void Crash();
   void Start();
 
+  // Statements take this many times as long from now on.
+  void SetSlowdown(int factor) { this->slowdown = factor; }
+
   void Lead(Term term);
   void StepDown(Term term);
 
@@ -96,6 +99,7 @@
   SeededRandom random;
   bool running = true;
   bool leads = false;
+  int slowdown = 1;
   Term current_term{1};
   std::vector<CommitEntry> entries;
   std::set<std::shared_ptr<EmulatedSession>> sessions;
--- a/Libraries/LibEmulator/emulated_world.cc
+++ b/Libraries/LibEmulator/emulated_world.cc
@@ -18,6 +18,9 @@
 constexpr Duration kLeavingTime = std::chrono::seconds(8);
 constexpr Duration kStartTime = std::chrono::seconds(6);
 
+// Between the signal to stop and the end by force.
+constexpr Duration kGrace = std::chrono::seconds(6);
+
 // A split lasts longer than a lease, so that the primary is replaced in it.
 constexpr Duration kLongSplit = std::chrono::seconds(9);
 
@@ -204,6 +207,15 @@
   });
 }
 
+void EmulatedWorld::StopNode(size_t index, Duration down) {
+  this->nodes[index]->Stop(kGrace, [this, index, down] {
+    this->scheduler.PostAfter(down, [this, index] {
+      if (!this->nodes[index]->gateway())
+        this->nodes[index]->Start(this->random.Below(1U << 30U));
+    });
+  });
+}
+
 void EmulatedWorld::FreezeNode(size_t index, Duration duration) {
   this->nodes[index]->Freeze(duration);
 }
@@ -332,6 +344,11 @@
       this->SplitFromPrimary(this->random.Below(this->groups.size()),
                              lasts + kLongSplit);
       return;
+    case 13:
+      return this->StopNode(node, lasts / 4);
+    case 14:
+      this->StopNode(node, lasts / 4);
+      return this->StopNode(this->random.Below(this->nodes.size()), lasts / 4);
     default:
       return;
   }
--- a/Libraries/LibEmulator/emulated_world.h
+++ b/Libraries/LibEmulator/emulated_world.h
@@ -41,6 +41,8 @@
   void HealAll();
 
   void KillNode(size_t index, Duration down);
+  // Stops a proxy as an operator does; it starts again `down` after its end.
+  void StopNode(size_t index, Duration down);
   void FreezeNode(size_t index, Duration duration);
   void FailStore(size_t index,
                  EmulatedStoreAccess::Fault fault,
@@ -61,7 +63,7 @@
   EmulatedStore& store() { return this->emulated_store; }
   EmulatedCaller::Counts TotalCounts() const;
   // How many kinds of faults InjectFault() chooses from.
-  static constexpr uint64_t kFaultKinds = 13;
+  static constexpr uint64_t kFaultKinds = 15;
 
  private:
   class Codec;
--- a/Libraries/LibEmulator/emulated_world_test.cc
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -113,6 +113,44 @@
     CHECK(FirstViolation(world) == "");
   }
 
+  SUBCASE("are stopped in turn and cut no statement") {
+    world.RunFor(std::chrono::seconds(2));
+    const auto before = world.TotalCounts();
+    for (size_t index = 0; index < 5; ++index) {
+      world.StopNode(index, std::chrono::milliseconds(500));
+      world.RunFor(std::chrono::milliseconds(3500));
+    }
+    world.RunFor(std::chrono::seconds(6));
+    const auto after = world.TotalCounts();
+    CHECK(after.sent > before.sent + 1000);
+    CHECK(FirstViolation(world) == "");
+    for (size_t index = 0; index < 5; ++index)
+      CHECK(world.node(index).gateway()->is_ready());
+  }
+
+  SUBCASE("are stopped while targets are slow and cut no statement") {
+    world.RunFor(std::chrono::seconds(2));
+    for (size_t index = 0; index < 2; ++index) {
+      for (const auto& target : world.group(index).targets())
+        target->SetSlowdown(60);
+    }
+    for (size_t index = 0; index < 5; index += 2)
+      world.StopNode(index, std::chrono::milliseconds(500));
+    world.RunFor(std::chrono::seconds(9));
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE("are stopped while the store is away and cut no statement") {
+    world.RunFor(std::chrono::seconds(2));
+    for (size_t index = 0; index < 5; ++index)
+      world.FailStore(index, EmulatedStoreAccess::Fault::kSilent,
+                      std::chrono::seconds(6));
+    world.StopNode(0, std::chrono::milliseconds(500));
+    world.StopNode(1, std::chrono::milliseconds(500));
+    world.RunFor(std::chrono::seconds(9));
+    CHECK(FirstViolation(world) == "");
+  }
+
   SUBCASE(
       "let the successor of a proxy that ordered a promotion go on with "
       "the same target") {
@@ -153,6 +191,20 @@
       CHECK(target->most_sessions() <= EmulatedTarget::kMaximumSessions);
   }
 
+  SUBCASE("cut no statement when homes and others stop, also at once") {
+    world.RunFor(std::chrono::seconds(2));
+    for (size_t index = 0; index < options.nodes; ++index) {
+      world.StopNode(index, std::chrono::milliseconds(500));
+      if (index % 2 == 1)
+        world.RunFor(std::chrono::milliseconds(1300));
+    }
+    world.RunFor(std::chrono::seconds(8));
+    CHECK(FirstViolation(world) == "");
+    const auto before = world.TotalCounts().writes_succeeded;
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.TotalCounts().writes_succeeded > before + 20);
+  }
+
   SUBCASE("go on when homes are lost") {
     world.RunFor(std::chrono::seconds(2));
     for (size_t index = 0; index < options.nodes; ++index) {
--- a/Libraries/LibEmulator/promise_checker.cc
+++ b/Libraries/LibEmulator/promise_checker.cc
@@ -149,6 +149,10 @@
     this->Break("REFUSED", attempt + " had been committed");
 }
 
+void PromiseChecker::DidCut(const std::string& request_id) {
+  this->Break("LOST", request_id + " was cut off without an answer");
+}
+
 std::optional<CommitEntry> PromiseChecker::CommitOf(
     const std::string& attempt) const {
   const auto found = this->commit_by_attempt.find(attempt);
--- a/Libraries/LibEmulator/promise_checker.h
+++ b/Libraries/LibEmulator/promise_checker.h
@@ -78,6 +78,9 @@
   // A caller was promised that nothing of an attempt is kept.
   void DidPromiseNothingKept(const std::string& attempt);
 
+  // A proxy that was not lost ended a session before it answered a statement.
+  void DidCut(const std::string& request_id);
+
   // Returns the newest commit of an attempt, if there is one.
   std::optional<CommitEntry> CommitOf(const std::string& attempt) const;
 
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -56,12 +56,12 @@
 constexpr Duration kDirectoryCertainAfter = std::chrono::milliseconds(3000);
 // New sessions stop coming about two seconds after the proxy says that it is
 // not ready; idle sessions closed before would come back here.
-constexpr Duration kDrainNotice = std::chrono::milliseconds(2300);
-// What is left of the time to stop for the last answers and the store.
-constexpr Duration kDrainReserve = std::chrono::milliseconds(700);
-// Sessions at rest that are closed in one tick of a drain, so that their owners
-// do not all reconnect at once.
+constexpr Duration kIsolationNotice = std::chrono::milliseconds(2300);
+// Sessions at rest that a proxy which is cut off closes in one tick, so that
+// their owners do not all reconnect at once.
 constexpr size_t kSessionsClosedPerTick = 8;
+// The last answers and the word to the store are on their way by then.
+constexpr Duration kLastWords = std::chrono::milliseconds(100);
 
 TableFollower::Options FollowOptions(std::string table) {
   TableFollower::Options options;
@@ -159,7 +159,8 @@
           },
           [this](const PrimaryRecord& record) {
             return this->StopPrimary(record);
-          }}) {}
+          }}),
+      drain_plan(this->options.drain_limit) {}
 
 Gateway::~Gateway() = default;
 
@@ -175,6 +176,31 @@
          !this->isolation.is_isolated();
 }
 
+std::optional<Duration> Gateway::DrainElapsed() const {
+  if (!this->draining_since)
+    return std::nullopt;
+  return this->around.scheduler.Now() - *this->draining_since;
+}
+
+bool Gateway::takes_sessions() const {
+  const auto elapsed = this->DrainElapsed();
+  return !elapsed ||
+         (!this->has_drained && this->drain_plan.takes_sessions(*elapsed));
+}
+
+bool Gateway::takes_transactions() const {
+  const auto elapsed = this->DrainElapsed();
+  return !elapsed ||
+         (!this->has_drained && this->drain_plan.takes_transactions(*elapsed));
+}
+
+bool Gateway::takes_statement(const CallerRoute& route) const {
+  const auto elapsed = this->DrainElapsed();
+  return !elapsed ||
+         (!this->has_drained &&
+          this->drain_plan.takes_statement(*elapsed, route.statement_timeout));
+}
+
 Revision Gateway::revision() const {
   return this->routes ? this->routes->revision : Revision{};
 }
@@ -184,14 +210,15 @@
     std::string_view database) {
   if (!this->FindRoute(database))
     return nullptr;
+  const uint64_t number = this->next_session++;
   auto session = std::make_unique<GatewaySession>(
-      this->around.scheduler, *this, channel, std::string(database));
-  this->sessions.emplace(session.get(), &channel);
+      this->around.scheduler, *this, channel, std::string(database), number);
+  this->sessions.emplace(number, OpenCaller{session.get(), &channel});
   return session;
 }
 
-void Gateway::DidCloseSession(GatewaySession* session) {
-  this->sessions.erase(session);
+void Gateway::DidCloseSession(const GatewaySession& session) {
+  this->sessions.erase(session.number());
 }
 
 const CallerRoute* Gateway::FindRoute(std::string_view database) const {
@@ -660,53 +687,60 @@
   // Sessions at rest are better served by proxies that are not cut off, once
   // new sessions go there.
   if (this->isolation.is_isolated() &&
-      now - *this->isolation.since() >= kDrainNotice)
-    this->CloseSessionsAtRest();
+      now - *this->isolation.since() >= kIsolationNotice)
+    this->CloseSessionsAtRest(kSessionsClosedPerTick);
 }
 
-void Gateway::CloseSessionsAtRest() {
+void Gateway::CloseSessionsAtRest(size_t most) {
   size_t closed = 0;
-  const std::map<GatewaySession*, CallerChannel*> open = this->sessions;
-  for (const auto& [session, channel] : open) {
-    if (closed >= kSessionsClosedPerTick)
+  const auto open = this->sessions;
+  for (const auto& [number, caller] : open) {
+    if (closed >= most)
       return;
-    if (!this->sessions.contains(session) || !session->is_at_rest())
+    if (!this->sessions.contains(number) || !caller.session->is_at_rest())
       continue;
     ++closed;
-    channel->Close();
+    caller.channel->Close();
   }
 }
 
 void Gateway::TickDrain() {
-  if (!this->draining_since || !this->did_drain)
-    return;
-  const Duration elapsed = this->around.scheduler.Now() - *this->draining_since;
-  const Duration notice =
-      std::min<Duration>(kDrainNotice, this->options.drain_limit * 4 / 10);
-  if (elapsed < notice)
+  const auto elapsed = this->DrainElapsed();
+  if (!elapsed || this->has_drained)
     return;
-  // Open transactions have the first half of the time.
-  if (elapsed >= this->options.drain_limit / 2) {
-    for (const auto& [session, channel] : this->sessions)
-      session->AbortTransaction("the proxy is shutting down");
+  if (*elapsed >= this->drain_plan.middle()) {
+    for (const auto& [number, caller] : this->sessions)
+      caller.session->AbortTransaction("the proxy is shutting down");
     this->forward_desk.EndIdle();
   }
-  this->CloseSessionsAtRest();
-  const bool is_over = elapsed >= this->options.drain_limit - kDrainReserve;
+  this->CloseSessionsAtRest(this->drain_plan.SessionsToClose(
+      this->sessions.size(), *elapsed, kTickInterval));
+  const bool is_noticed = *elapsed >= this->drain_plan.notice();
   const bool is_done = this->sessions.empty() && this->forward_desk.is_idle() &&
                        this->loan_desk.loan_count() == 0;
-  if (is_done || is_over)
+  if ((is_noticed && is_done) || *elapsed >= this->drain_plan.end())
     this->FinishDrain();
 }
 
 void Gateway::FinishDrain() {
-  spdlog::info("event=drained sessions_left={}", this->sessions.size());
+  spdlog::info("event=drained sessions_left={} forwarded_left={}",
+               this->sessions.size(), this->forward_desk.open_count());
+  this->has_drained = true;
+  // Nothing ends without an answer.
+  const auto open = this->sessions;
+  for (const auto& [number, caller] : open) {
+    if (!this->sessions.contains(number))
+      continue;
+    caller.session->GiveUp();
+    caller.channel->Close();
+  }
+  this->forward_desk.GiveUp();
   this->leases.Drop(TimePoint::max());
   for (auto& [group, dispatcher] : this->dispatchers)
     dispatcher->DidChangeLeases();
   this->registration.Leave();
-  const auto tell = std::exchange(this->did_drain, nullptr);
-  tell();
+  this->around.scheduler.PostAfter(
+      kLastWords, this->life.Wrap([this] { this->did_drain(); }));
 }
 
 std::string Gateway::FormatMetrics() const {
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -22,6 +22,7 @@
 #include "LibDispatch/event_journal.h"
 #include "LibGateway/copy_desk.h"
 #include "LibGateway/copy_follower.h"
+#include "LibGateway/drain_plan.h"
 #include "LibGateway/gateway_metrics.h"
 #include "LibGateway/gateway_session.h"
 #include "LibGateway/home_roles.h"
@@ -76,10 +77,13 @@
   // Whether a configuration is known.
   bool has_routes() const { return this->routes.has_value(); }
 
+  // Whether a session may be opened; not in the second half of a drain.
+  bool takes_sessions() const;
+
   // Opens a session on `database`, or returns null when it is not declared.
   std::unique_ptr<GatewaySession> OpenSession(CallerChannel& channel,
                                               std::string_view database);
-  void DidCloseSession(GatewaySession* session);
+  void DidCloseSession(const GatewaySession& session);
 
   // Answers another proxy.
   void HandleQuery(const PeerQuery& query, const PeerLinks::Answer& answer);
@@ -96,6 +100,8 @@
   const CallerRoute* FindRoute(std::string_view database) const override;
   GroupAccess* FindAccess(const GroupName& group) override;
   Duration transaction_idle_limit() const override;
+  bool takes_transactions() const override;
+  bool takes_statement(const CallerRoute& route) const override;
   void DidAnswerCaller(const CallerStatement& statement,
                        const StatementAnswer& answer,
                        TimePoint received_at) override;
@@ -142,7 +148,10 @@
   // or by the word of the homes of its place.
   Duration PrimarySilence(const GroupName& group) const;
   void TickIsolation();
-  void CloseSessionsAtRest();
+  // Closes at most `most` sessions that have nothing under way.
+  void CloseSessionsAtRest(size_t most);
+  // The time since the request to stop, or nothing before it.
+  std::optional<Duration> DrainElapsed() const;
   void TickDrain();
   void FinishDrain();
 
@@ -172,7 +181,13 @@
   ForwardDesk forward_desk;
   MemberRegistration registration;
   FailoverAgent failover;
-  std::map<GatewaySession*, CallerChannel*> sessions;
+  struct OpenCaller {
+    GatewaySession* session = nullptr;
+    CallerChannel* channel = nullptr;
+  };
+  // By number, so that a drain closes the oldest first.
+  std::map<uint64_t, OpenCaller> sessions;
+  uint64_t next_session = 1;
   IsolationWatch isolation;
   // The version of the targets that waiting peers have been told.
   std::optional<uint64_t> told_targets;
@@ -180,7 +195,10 @@
   TimePoint asked_for_copies_at{};
   // Until when the store is read directly because the readers did not serve.
   TimePoint direct_until{};
+  DrainPlan drain_plan;
   std::optional<TimePoint> draining_since;
+  // Everything has been answered; the process is about to end.
+  bool has_drained = false;
   std::function<void()> did_drain;
   LifeGuard life;
 };
--- a/Libraries/LibGateway/gateway_session.cc
+++ b/Libraries/LibGateway/gateway_session.cc
@@ -10,16 +10,21 @@
 // send one at a time.
 constexpr size_t kMaximumWaiting = 64;
 
+constexpr const char* kStopping =
+    "the proxy is shutting down; retry after 0 ms";
+
 }  // namespace
 
 GatewaySession::GatewaySession(Scheduler& scheduler,
                                SessionHost& host,
                                CallerChannel& channel,
-                               std::string database)
+                               std::string database,
+                               uint64_t number)
     : scheduler(scheduler),
       host(host),
       channel(channel),
-      database(std::move(database)) {}
+      database(std::move(database)),
+      session_number(number) {}
 
 GatewaySession::~GatewaySession() {
   if (this->idle_timer != 0)
@@ -92,6 +97,8 @@
   switch (statement.kind) {
     case StatementKind::kBegin:
     case StatementKind::kBeginRead:
+      if (!this->host.takes_transactions())
+        return this->AnswerError(StatementErrorCode::kBusy, kStopping);
       this->is_read_only = statement.kind == StatementKind::kBeginRead;
       this->abort_reason.reset();
       this->state = SessionState::kInTransaction;
@@ -188,6 +195,15 @@
     this->AnswerError(StatementErrorCode::kNoDatabase, this->database);
     return nullptr;
   }
+  if (!this->host.takes_statement(*route)) {
+    const bool is_open = this->state == SessionState::kInTransaction &&
+                         this->current->kind != StatementKind::kCommit;
+    this->EndTransaction();
+    if (is_open)
+      this->state = SessionState::kFailedTransaction;
+    this->AnswerError(StatementErrorCode::kBusy, kStopping);
+    return nullptr;
+  }
   return route;
 }
 
@@ -322,6 +338,23 @@
   this->abort_reason = reason;
 }
 
+void GatewaySession::GiveUp() {
+  this->waiting.clear();
+  if (!this->current)
+    return;
+  if (this->work_group)
+    std::exchange(this->work_group, nullptr)->Cancel(this->work_number);
+  // Only a commit keeps anything of a transaction.
+  const bool is_rolled_back = this->state != SessionState::kIdle &&
+                              this->current->kind != StatementKind::kCommit;
+  this->EndTransaction();
+  if (is_rolled_back)
+    this->state = SessionState::kFailedTransaction;
+  this->AnswerError(is_rolled_back ? StatementErrorCode::kAborted
+                                   : StatementErrorCode::kInDoubt,
+                    "the proxy ended before the answer came");
+}
+
 void GatewaySession::EndTransaction() {
   this->transaction.reset();
   this->state = SessionState::kIdle;
--- a/Libraries/LibGateway/gateway_session.h
+++ b/Libraries/LibGateway/gateway_session.h
@@ -1,6 +1,7 @@
 #ifndef LIBGATEWAY_GATEWAY_SESSION_H_
 #define LIBGATEWAY_GATEWAY_SESSION_H_
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -28,6 +29,10 @@
   // Returns the way to a group, or null while there is none.
   virtual GroupAccess* FindAccess(const GroupName& group) = 0;
   virtual Duration transaction_idle_limit() const = 0;
+  // Whether a transaction may begin now.
+  virtual bool takes_transactions() const = 0;
+  // Whether a statement of the route may begin now.
+  virtual bool takes_statement(const CallerRoute& route) const = 0;
   virtual void DidAnswerCaller(const CallerStatement& statement,
                                const StatementAnswer& answer,
                                TimePoint received_at) = 0;
@@ -40,12 +45,16 @@
   GatewaySession(Scheduler& scheduler,
                  SessionHost& host,
                  CallerChannel& channel,
-                 std::string database);
+                 std::string database,
+                 uint64_t number);
   ~GatewaySession();
 
   // Takes the next statement. One is worked on at a time.
   void DidReceive(CallerStatement statement);
 
+  // Tells this session from every other of the proxy.
+  uint64_t number() const { return this->session_number; }
+
   // Whether nothing is under way, so that the session may be closed.
   bool is_at_rest() const;
   bool is_in_transaction() const { return this->state != SessionState::kIdle; }
@@ -54,6 +63,10 @@
   // says so.
   void AbortTransaction(const char* reason);
 
+  // Answers what is under way, since the process ends: as in doubt, or as
+  // aborted within a transaction.
+  void GiveUp();
+
  private:
   void Handle(const CallerStatement& statement);
   void HandleInTransaction(const CallerStatement& statement);
@@ -69,6 +82,7 @@
   std::optional<StatementAccess> AccessOf(
       const CallerStatement& statement) const;
   TargetCommand CommandFor(const CallerStatement& statement) const;
+  // Returns the route when a statement of it may begin; else answers.
   const CallerRoute* UsableRoute();
   void Answer(StatementAnswer answer);
   void AnswerDone();
@@ -81,6 +95,7 @@
   SessionHost& host;
   CallerChannel& channel;
   std::string database;
+  uint64_t session_number;
   std::shared_ptr<SessionRecord> record = std::make_shared<SessionRecord>();
   SessionState state = SessionState::kIdle;
   // The transaction is read-only, by the caller's word.
--- a/Libraries/LibRelay/forward_desk.cc
+++ b/Libraries/LibRelay/forward_desk.cc
@@ -20,7 +20,9 @@
   std::unique_ptr<CallerTransaction> transaction;
   uint64_t next_sequence = 0;
   Scheduler::TimerId timer = 0;
-  bool is_running = false;
+  // The way of the answer to the statement that runs; empty when none does.
+  PeerLinks::Answer running;
+  TransactionStep step = TransactionStep::kRead;
 };
 
 ForwardDesk::ForwardDesk(Scheduler& scheduler,
@@ -53,20 +55,24 @@
   request.session_point = query.session_point;
   // Clocks of VMs are not compared; what the way took is not counted.
   request.received_at = this->scheduler.Now() - query.waited;
-  ++this->running;
+  const uint64_t number = this->next_number++;
+  this->running.emplace(number, Running{query.is_write, answer});
   home->Submit(
       std::move(request),
-      this->life.Wrap([this, name = query.name, group = query.route.group,
-                       answer](WorkOutcome outcome) {
-        this->DidFinish(name, group, std::move(outcome), answer);
+      this->life.Wrap([this, number, name = query.name,
+                       group = query.route.group](WorkOutcome outcome) {
+        this->DidFinish(number, name, group, std::move(outcome));
       }));
 }
 
-void ForwardDesk::DidFinish(const std::string& name,
+void ForwardDesk::DidFinish(uint64_t number,
+                            const std::string& name,
                             const GroupName& group,
-                            WorkOutcome outcome,
-                            const PeerLinks::Answer& answer) {
-  --this->running;
+                            WorkOutcome outcome) {
+  const auto ended = this->running.extract(number);
+  // It was given up.
+  if (ended.empty())
+    return;
   ForwardAnswer forwarded;
   forwarded.is_taken = true;
   forwarded.answer = std::move(outcome.answer);
@@ -78,14 +84,14 @@
     this->held_by_name.emplace(name, held);
     this->RestartTimer(name, held);
   }
-  answer(forwarded);
+  ended.mapped().answer(forwarded);
 }
 
 void ForwardDesk::Handle(const ContinueQuery& query,
                          const PeerLinks::Answer& answer) {
   const auto found = this->held_by_name.find(query.name);
   const bool is_next = found != this->held_by_name.end() &&
-                       !found->second->is_running &&
+                       !found->second->running &&
                        found->second->next_sequence == query.sequence;
   if (!is_next) {
     this->End(query.name);
@@ -93,27 +99,28 @@
   }
   const HeldPointer held = found->second;
   ++held->next_sequence;
-  held->is_running = true;
+  held->running = answer;
+  held->step = query.step;
   this->scheduler.Cancel(held->timer);
   SessionRecord record;
   for (const auto& [name, value] : query.values)
     record.Set(name, value);
-  held->transaction->Run(
-      record, query.command, query.step,
-      this->life.Wrap([this, name = query.name, held, step = query.step,
-                       answer](StatementAnswer answered) {
-        this->DidContinue(name, held, step, std::move(answered), answer);
-      }));
+  held->transaction->Run(record, query.command, query.step,
+                         this->life.Wrap([this, name = query.name,
+                                          held](StatementAnswer answered) {
+                           this->DidContinue(name, held, std::move(answered));
+                         }));
 }
 
 void ForwardDesk::DidContinue(const std::string& name,
                               const HeldPointer& held,
-                              TransactionStep step,
-                              StatementAnswer answered,
-                              const PeerLinks::Answer& answer) {
-  held->is_running = false;
+                              StatementAnswer answered) {
+  const PeerLinks::Answer answer = std::exchange(held->running, nullptr);
+  // It was given up.
+  if (!answer)
+    return;
   const bool is_over =
-      step == TransactionStep::kCommit || answered.error.has_value();
+      held->step == TransactionStep::kCommit || answered.error.has_value();
   ContinueAnswer continued;
   continued.is_known = true;
   continued.answer = std::move(answered);
@@ -144,13 +151,41 @@
 void ForwardDesk::EndIdle() {
   std::vector<std::string> idle;
   for (const auto& [name, held] : this->held_by_name) {
-    if (!held->is_running)
+    if (!held->running)
       idle.push_back(name);
   }
   for (const std::string& name : idle)
     this->End(name);
 }
 
+void ForwardDesk::GiveUp() {
+  for (const auto& [number, statement] : std::exchange(this->running, {})) {
+    ForwardAnswer given_up;
+    given_up.is_taken = statement.is_write;
+    if (statement.is_write)
+      given_up.answer.error =
+          StatementError{StatementErrorCode::kInDoubt,
+                         "the home ended before the answer came"};
+    statement.answer(given_up);
+  }
+  // Only a commit keeps anything of a transaction.
+  const std::map<std::string, HeldPointer> held_now = this->held_by_name;
+  for (const auto& [name, held] : held_now) {
+    StatementAnswer given_up;
+    given_up.state = SessionState::kFailedTransaction;
+    const bool is_commit = held->step == TransactionStep::kCommit;
+    given_up.error = StatementError{
+        is_commit ? StatementErrorCode::kInDoubt : StatementErrorCode::kAborted,
+        "the home ended before the answer came"};
+    if (is_commit)
+      given_up.state = SessionState::kIdle;
+    if (held->running)
+      this->DidContinue(name, held, std::move(given_up));
+    else
+      this->End(name);
+  }
+}
+
 void ForwardDesk::End(const std::string& name) {
   auto ended = this->held_by_name.extract(name);
   if (ended.empty())
--- a/Libraries/LibRelay/forward_desk.h
+++ b/Libraries/LibRelay/forward_desk.h
@@ -1,6 +1,7 @@
 #ifndef LIBRELAY_FORWARD_DESK_H_
 #define LIBRELAY_FORWARD_DESK_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,24 +40,31 @@
 
   size_t transaction_count() const { return this->held_by_name.size(); }
 
-  // Whether no forwarded statement runs and no transaction is held.
-  bool is_idle() const {
-    return this->running == 0 && this->held_by_name.empty();
+  // Answers everything that still runs, since the process ends: as in doubt
+  // what may have changed data, as not taken what may run elsewhere.
+  void GiveUp();
+
+  // Forwarded statements without an answer and transactions that are held.
+  size_t open_count() const {
+    return this->running.size() + this->held_by_name.size();
   }
+  bool is_idle() const { return this->open_count() == 0; }
 
  private:
   struct Held;
+  struct Running {
+    bool is_write = false;
+    PeerLinks::Answer answer;
+  };
   using HeldPointer = std::shared_ptr<Held>;
 
-  void DidFinish(const std::string& name,
+  void DidFinish(uint64_t number,
+                 const std::string& name,
                  const GroupName& group,
-                 WorkOutcome outcome,
-                 const PeerLinks::Answer& answer);
+                 WorkOutcome outcome);
   void DidContinue(const std::string& name,
                    const HeldPointer& held,
-                   TransactionStep step,
-                   StatementAnswer answered,
-                   const PeerLinks::Answer& answer);
+                   StatementAnswer answered);
   void RestartTimer(const std::string& name, const HeldPointer& held);
   void End(const std::string& name);
 
@@ -65,8 +73,9 @@
   PrimarySilence primary_silence;
   IdleLimit idle_limit;
   std::map<std::string, HeldPointer> held_by_name;
-  // Statements outside of transactions that have no answer yet.
-  size_t running = 0;
+  // Statements outside of transactions that have no answer yet, by a number.
+  std::map<uint64_t, Running> running;
+  uint64_t next_number = 1;
   LifeGuard life;
 };
 
