LibTables: Hand on differences of tables, and decode only what changed

Cause, by reading and by arithmetic for 295 VMs: the version of a copy is the store's, which every change of any table raises, so a reader sent whole tables (some 44 KB) to each of its 29 followers whenever anything in the store had changed; every follower then parsed all rows of the members' table again, also when only the time of the read was new, and chose all homes again.

Change: a copy knows in which version a row last changed and which rows were removed since when; it sends what a follower lacks, or all rows where that is not known. CoordinationView decodes rows whose version is new. Homes are chosen again when members, groups or targets changed.

--- a/Libraries/LibCoordination/coordination_view.cc
+++ b/Libraries/LibCoordination/coordination_view.cc
@@ -52,10 +52,28 @@
       .dump();
 }
 
-void CoordinationView::Update(const TableFollower::Rows& rows, TimePoint now) {
-  this->member_by_address.clear();
-  this->primary_records.clear();
+bool CoordinationView::Update(const TableFollower::Rows& rows, TimePoint now) {
+  bool is_changed = false;
+  auto known = this->version_by_key.begin();
   for (const auto& [key, row] : rows) {
+    while (known != this->version_by_key.end() && known->first < key) {
+      this->Forget(known->first);
+      known = this->version_by_key.erase(known);
+      is_changed = true;
+    }
+    const bool is_known =
+        known != this->version_by_key.end() && known->first == key;
+    if (is_known && known->second == row.version) {
+      ++known;
+      continue;
+    }
+    is_changed = true;
+    if (is_known)
+      known->second = row.version;
+    else
+      known = this->version_by_key.emplace_hint(known, key, row.version);
+    ++known;
+    this->Forget(key);
     try {
       this->DecodeRow(row, now);
     } catch (const json::exception& exception) {
@@ -63,9 +81,29 @@
                     exception.what());
     }
   }
-  std::erase_if(this->gone_at_by_address, [this](const auto& entry) {
-    const auto member = this->member_by_address.find(entry.first);
-    return member == this->member_by_address.end() || !member->second.is_gone;
+  while (known != this->version_by_key.end()) {
+    this->Forget(known->first);
+    known = this->version_by_key.erase(known);
+    is_changed = true;
+  }
+  if (is_changed)
+    std::erase_if(this->gone_at_by_address, [this](const auto& entry) {
+      const auto member = this->member_by_address.find(entry.first);
+      return member == this->member_by_address.end() || !member->second.is_gone;
+    });
+  return is_changed;
+}
+
+void CoordinationView::Forget(const std::string& key) {
+  if (key.starts_with(kMemberPrefix)) {
+    this->member_by_address.erase(key.substr(kMemberPrefix.size()));
+    return;
+  }
+  if (!key.starts_with(kPrimaryPrefix))
+    return;
+  const GroupName group{key.substr(kPrimaryPrefix.size())};
+  std::erase_if(this->primary_records, [&](const PrimaryRecord& record) {
+    return record.group == group;
   });
 }
 
--- a/Libraries/LibCoordination/coordination_view.h
+++ b/Libraries/LibCoordination/coordination_view.h
@@ -59,9 +59,9 @@
   static std::string Encode(const PrimaryRecord& primary);
   static std::string Encode(const DutyRecord& duty);
 
-  // Decodes all rows at `now`; a row that cannot be read is logged and left
-  // out.
-  void Update(const TableFollower::Rows& rows, TimePoint now);
+  // Decodes the rows that are new or have changed, at `now`; a row that cannot
+  // be read is logged and left out. Returns whether anything changed.
+  bool Update(const TableFollower::Rows& rows, TimePoint now);
 
   const std::map<std::string, MemberRecord>& members() const {
     return this->member_by_address;
@@ -77,7 +77,10 @@
 
  private:
   void DecodeRow(const StoreRow& row, TimePoint now);
+  void Forget(const std::string& key);
 
+  // The version of each row that has been decoded.
+  std::map<std::string, uint64_t> version_by_key;
   std::map<std::string, MemberRecord> member_by_address;
   std::map<std::string, TimePoint> gone_at_by_address;
   std::vector<PrimaryRecord> primary_records;
--- a/Libraries/LibGateway/copy_desk.cc
+++ b/Libraries/LibGateway/copy_desk.cc
@@ -12,7 +12,7 @@
   CopyAnswer copies = this->make_copies(query);
   bool has_rows = false;
   for (const TableCopy& table : copies.tables)
-    has_rows |= table.rows.has_value();
+    has_rows |= table.difference.has_value();
   if (!must_wait || has_rows)
     return answer(copies);
   this->waiting.push_back(Waiting{query, answer, this->scheduler.Now()});
--- a/Libraries/LibGateway/copy_follower_test.cc
+++ b/Libraries/LibGateway/copy_follower_test.cc
@@ -18,7 +18,7 @@
   copy.table = "t";
   copy.version = version;
   if (has_rows)
-    copy.rows = TableRows{{}, version};
+    copy.difference = TableDifference{TableRows{{}, version}, true};
   CopyAnswer answer;
   answer.tables.push_back(copy);
   return answer;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -289,6 +289,7 @@
                decoded->revision.value, decoded->route_by_database.size(),
                decoded->groups.size());
   this->routes = std::move(*decoded);
+  this->UpdateRoleGroups();
   this->UpdateDispatchers();
   this->copy_desk.DidRead();
 }
@@ -298,23 +299,31 @@
   std::optional<Duration> steady_for;
   if (const auto since = this->targets.steady_since())
     steady_for = now - *since;
-  this->directory.DidRead(
-      this->around.codec.DecodeTargets(this->targets.rows()), steady_for);
+  const bool is_changed = this->targets.changed_version() != this->told_targets;
+  if (is_changed)
+    this->decoded_targets =
+        this->around.codec.DecodeTargets(this->targets.rows());
+  // Entries that are missing count as gone after a while, by time alone.
+  this->directory.DidRead(this->decoded_targets, steady_for);
+  this->UpdateRoleGroups();
   this->UpdateDispatchers();
-  if (this->targets.version() != this->told_targets) {
-    this->told_targets = this->targets.version();
+  if (is_changed) {
+    this->told_targets = this->targets.changed_version();
     this->copy_desk.DidRead();
   }
 }
 
 void Gateway::DidReadCoordination() {
   const TimePoint now = this->around.scheduler.Now();
-  this->view.Update(this->coordination.rows(), now);
-  this->roles.DidReadMembers(this->view.members(), now);
-  this->UpdateRoles();
+  const bool is_changed = this->view.Update(this->coordination.rows(), now);
+  if (is_changed || !this->roles.has_read_members()) {
+    this->roles.DidReadMembers(this->view.members(), now);
+    this->UpdateRoles();
+  }
   this->leases.DidRead(this->view.primaries(), this->coordination.read_at(),
                        this->registration.registered_groups(), now);
-  this->UpdateDispatchers();
+  if (is_changed)
+    this->UpdateDispatchers();
   for (auto& [group, dispatcher] : this->dispatchers)
     dispatcher->DidChangeLeases();
   this->copy_desk.DidRead();
@@ -359,20 +368,23 @@
   return this->forwarding_groups.at(group)->PrimarySilence();
 }
 
+void Gateway::UpdateRoleGroups() {
+  this->role_groups.clear();
+  if (!this->routes)
+    return;
+  std::map<GroupName, std::set<PlaceName>> places_by_group;
+  for (const auto& [target, entry] : this->directory.targets())
+    places_by_group[entry.group].insert(entry.place);
+  for (const auto& [name, declaration] : this->routes->groups)
+    this->role_groups.push_back(HomeRoles::Group{
+        name, this->SharedConnections(name), places_by_group[name]});
+}
+
 void Gateway::UpdateRoles() {
   if (!this->routes || !this->coordination.version())
     return;
-  std::vector<HomeRoles::Group> groups;
-  for (const auto& [name, declaration] : this->routes->groups) {
-    HomeRoles::Group group{name, this->SharedConnections(name), {}};
-    for (const auto& [target, entry] : this->directory.targets()) {
-      if (entry.group == name)
-        group.places.insert(entry.place);
-    }
-    groups.push_back(std::move(group));
-  }
   std::set<GroupName> chosen =
-      this->roles.Choose(groups, this->around.scheduler.Now());
+      this->roles.Choose(this->role_groups, this->around.scheduler.Now());
   for (const GroupName& group : this->home_groups) {
     if (chosen.contains(group))
       continue;
@@ -535,12 +547,7 @@
     copy.age = now - follower->read_at();
     if (const auto since = follower->steady_since())
       copy.steady_for = now - *since;
-    if (copy.version > known) {
-      copy.rows.emplace();
-      copy.rows->version = copy.version;
-      for (const auto& [key, row] : follower->rows())
-        copy.rows->rows.push_back(row);
-    }
+    copy.difference = follower->ChangesSince(known);
     answer.tables.push_back(std::move(copy));
   }
   for (const auto& [group, dispatcher] : this->dispatchers) {
@@ -572,13 +579,10 @@
     if (copy.steady_for)
       steady_since = this->around.scheduler.Now() - *copy.steady_for;
     follower->second->DidHearOfStore(steady_since);
-    if (copy.rows) {
-      follower->second->TakeCopy(*copy.rows, read_at);
-      continue;
-    }
-    // The same version: only the time of reading is new.
-    if (follower->second->version() == copy.version)
-      follower->second->Confirm(read_at);
+    if (copy.difference)
+      follower->second->TakeCopy(*copy.difference, read_at);
+    else
+      follower->second->Confirm(copy.version, read_at);
   }
   for (const ProofCopy& proof : answer.proofs) {
     if (GroupDispatcher* dispatcher = this->FindGroup(proof.group))
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -118,6 +118,8 @@
   void DidReadConfiguration();
   void DidReadTargets();
   void DidReadCoordination();
+  // Gathers what the choice of homes depends on, when it may have changed.
+  void UpdateRoleGroups();
   // Chooses the groups of which this proxy is a home, and registers them.
   void UpdateRoles();
   void UpdateDispatchers();
@@ -169,6 +171,7 @@
   TargetDirectory directory;
   std::optional<RouteTable> routes;
   HomeRoles roles;
+  std::vector<HomeRoles::Group> role_groups;
   // The groups of which this proxy is or will be a home.
   std::set<GroupName> home_groups;
   std::map<GroupName, std::unique_ptr<GroupDispatcher>> dispatchers;
@@ -189,7 +192,8 @@
   std::map<uint64_t, OpenCaller> sessions;
   uint64_t next_session = 1;
   IsolationWatch isolation;
-  // The version of the targets that waiting peers have been told.
+  std::vector<TargetEntry> decoded_targets;
+  // The version of the targets that has been decoded and waiting peers told.
   std::optional<uint64_t> told_targets;
   TimePoint asked_others_at{};
   TimePoint asked_for_copies_at{};
--- a/Libraries/LibGateway/home_roles.h
+++ b/Libraries/LibGateway/home_roles.h
@@ -37,6 +37,9 @@
   void DidReadMembers(const std::map<std::string, MemberRecord>& members,
                       TimePoint now);
 
+  // Whether the members have been read, be it that there are none.
+  bool has_read_members() const { return this->has_read; }
+
   // Returns the groups of which this proxy should be a home. A role that has
   // gone to another member is kept for a while, so that work moves first.
   std::set<GroupName> Choose(std::span<const Group> groups, TimePoint now);
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -36,16 +36,19 @@
 
 json ToJson(const TableCopy& copy) {
   json rows = nullptr;
-  if (copy.rows) {
+  bool is_whole = false;
+  if (copy.difference) {
+    is_whole = copy.difference->is_whole;
     rows = json::array();
-    for (const StoreRow& row : copy.rows->rows)
-      rows.push_back(json::array({row.key, row.value, row.version}));
+    for (const StoreRow& row : copy.difference->rows.rows)
+      rows.push_back(
+          json::array({row.key, row.value, row.version, row.is_removed}));
   }
   json steady_for = nullptr;
   if (copy.steady_for)
     steady_for = copy.steady_for->count();
   return json::array({copy.table, std::move(rows), copy.version,
-                      copy.age.count(), std::move(steady_for)});
+                      copy.age.count(), std::move(steady_for), is_whole});
 }
 
 TableCopy TableFromJson(const json& value) {
@@ -57,11 +60,13 @@
     copy.steady_for = Duration(steady_for.get<int64_t>());
   if (value.at(1).is_null())
     return copy;
-  TableRows rows;
-  rows.version = copy.version;
+  TableDifference difference;
+  difference.rows.version = copy.version;
+  difference.is_whole = value.at(5);
   for (const json& row : value.at(1))
-    rows.rows.push_back(StoreRow{row.at(0), row.at(1), row.at(2), false});
-  copy.rows = std::move(rows);
+    difference.rows.rows.push_back(
+        StoreRow{row.at(0), row.at(1), row.at(2), row.at(3)});
+  copy.difference = std::move(difference);
   return copy;
 }
 
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -21,8 +21,7 @@
 
 // Asks for the peer's copies of the store's tables and its proofs of positions.
 struct CopyQuery {
-  // The versions that the asker has; tables that are no newer come without
-  // rows.
+  // The versions that the asker has; rows that are no newer are left out.
   std::vector<uint64_t> versions;
   // How long the peer may hold the question until it has read a table again; an
   // answer with newer rows comes at once.
@@ -32,8 +31,8 @@
 // One table of the store as a proxy read it.
 struct TableCopy {
   std::string table;
-  // Nothing when the asker's version is as new.
-  std::optional<TableRows> rows;
+  // Nothing when no row has changed since the asker's version.
+  std::optional<TableDifference> difference;
   uint64_t version = 0;
   // How long before the answer the read was sent that showed this.
   Duration age{};
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -60,7 +60,11 @@
       whole.table = "t";
       whole.version = 12;
       whole.age = std::chrono::milliseconds(3);
-      whole.rows = TableRows{{StoreRow{"key", "value", 11, false}}, 12};
+      whole.difference =
+          TableDifference{TableRows{{StoreRow{"key", "value", 11, false},
+                                     StoreRow{"gone", "", 12, true}},
+                                    12},
+                          false};
       TableCopy unchanged;
       unchanged.table = "u";
       unchanged.version = 5;
@@ -72,9 +76,11 @@
       const CopyAnswer received = BackThroughTheWire(sent);
       CHECK(received.held == sent.held);
       REQUIRE(received.tables.size() == 2);
-      CHECK(received.tables[0].rows->rows == whole.rows->rows);
+      CHECK(received.tables[0].difference->rows.rows ==
+            whole.difference->rows.rows);
+      CHECK_FALSE(received.tables[0].difference->is_whole);
       CHECK(received.tables[0].age == whole.age);
-      CHECK_FALSE(received.tables[1].rows.has_value());
+      CHECK_FALSE(received.tables[1].difference.has_value());
       CHECK(received.proofs[0].position == sent.proofs[0].position);
     }
 
--- a/Libraries/LibTables/row_store.h
+++ b/Libraries/LibTables/row_store.h
@@ -29,6 +29,14 @@
   uint64_t version = 0;
 };
 
+// What brings a copy of a table up to a newer version of the store.
+struct TableDifference {
+  // The changes since an older version, or all rows.
+  TableRows rows;
+  // All rows: what is not among them has been removed.
+  bool is_whole = true;
+};
+
 // A conditional change of one table; applied whole or not at all.
 struct TableChange {
   struct Expected {
--- a/Libraries/LibTables/table_follower.cc
+++ b/Libraries/LibTables/table_follower.cc
@@ -7,6 +7,14 @@
 
 namespace kingcupmill {
 
+namespace {
+
+// Removed rows that are remembered for those who have older copies; followers
+// are a few seconds behind at most.
+constexpr size_t kMaximumRemoved = 1024;
+
+}  // namespace
+
 TableFollower::TableFollower(Scheduler& scheduler,
                              RowStore& store,
                              Options options,
@@ -95,32 +103,74 @@
   }));
 }
 
-void TableFollower::TakeCopy(const TableRows& copy, TimePoint read_at) {
-  if (copy.version < this->known_version.value_or(0))
+std::optional<TableDifference> TableFollower::ChangesSince(
+    uint64_t version) const {
+  if (!this->known_version || version >= this->newest_change)
+    return std::nullopt;
+  TableDifference difference;
+  difference.rows.version = *this->known_version;
+  difference.is_whole = version < this->removals_since;
+  for (const auto& [key, row] : this->row_by_key) {
+    if (difference.is_whole || row.version > version)
+      difference.rows.rows.push_back(row);
+  }
+  if (difference.is_whole)
+    return difference;
+  for (const auto& [key, removed_in] : this->removed_by_key) {
+    if (removed_in > version)
+      difference.rows.rows.push_back(StoreRow{key, "", removed_in, true});
+  }
+  return difference;
+}
+
+void TableFollower::TakeCopy(const TableDifference& copy, TimePoint read_at) {
+  const bool is_older = copy.rows.version < this->known_version.value_or(0);
+  // Changes mean nothing without what they change.
+  const bool lacks_base = !copy.is_whole && !this->known_version;
+  if (is_older || lacks_base)
     return;
-  this->Apply(copy, true);
+  this->Apply(copy.rows, copy.is_whole);
   this->newest_read_at = std::max(this->newest_read_at, read_at);
   this->did_update();
 }
 
-void TableFollower::Confirm(TimePoint read_at) {
-  if (read_at <= this->newest_read_at)
+void TableFollower::Confirm(uint64_t version, TimePoint read_at) {
+  const bool is_older = version < this->known_version.value_or(0);
+  if (is_older || !this->known_version || read_at <= this->newest_read_at)
     return;
+  this->known_version = version;
   this->newest_read_at = read_at;
   this->did_update();
 }
 
 void TableFollower::Apply(const TableRows& read, bool is_whole) {
-  if (is_whole)
+  if (is_whole) {
+    // What was removed between the last version and this one is not known.
     this->row_by_key.clear();
+    this->removed_by_key.clear();
+    this->removals_since = read.version;
+    this->newest_change = read.version;
+  }
   for (const StoreRow& row : read.rows) {
+    this->newest_change = std::max(this->newest_change, row.version);
     if (row.is_removed) {
-      this->row_by_key.erase(row.key);
+      this->Remove(row);
       continue;
     }
+    this->removed_by_key.erase(row.key);
     this->row_by_key.insert_or_assign(row.key, row);
   }
   this->known_version = read.version;
 }
 
+void TableFollower::Remove(const StoreRow& row) {
+  this->row_by_key.erase(row.key);
+  this->removed_by_key.insert_or_assign(row.key, row.version);
+  if (this->removed_by_key.size() <= kMaximumRemoved)
+    return;
+  // Who has an older copy gets all rows.
+  this->removed_by_key.clear();
+  this->removals_since = this->newest_change;
+}
+
 }  // namespace kingcupmill
--- a/Libraries/LibTables/table_follower.h
+++ b/Libraries/LibTables/table_follower.h
@@ -54,16 +54,22 @@
   // effect while the store is read.
   void DidHearOfStore(std::optional<TimePoint> steady_since);
 
-  // Takes a copy that a peer read at `read_at` on this proxy's clock, or
-  // later.
-  void TakeCopy(const TableRows& copy, TimePoint read_at);
+  // Returns what a copy of `version` lacks, or nothing when it lacks nothing.
+  std::optional<TableDifference> ChangesSince(uint64_t version) const;
 
-  // The copy still held at `read_at`.
-  void Confirm(TimePoint read_at);
+  // Takes what a peer read at `read_at` on this proxy's clock, or later.
+  // Changes must start from a version that this copy has had.
+  void TakeCopy(const TableDifference& copy, TimePoint read_at);
+
+  // A peer read the table at `version` and `read_at` and found no change since
+  // a version that this copy has had.
+  void Confirm(uint64_t version, TimePoint read_at);
 
   const Rows& rows() const { return this->row_by_key; }
   // The version of the store that the copy shows; nothing before the first.
   std::optional<uint64_t> version() const { return this->known_version; }
+  // The newest version in which a row is known to have changed.
+  uint64_t changed_version() const { return this->newest_change; }
   // When the read was sent that showed this copy.
   TimePoint read_at() const { return this->newest_read_at; }
   // When the store itself answered last; zero time before the first answer.
@@ -78,6 +84,7 @@
                bool is_whole,
                ValueOrError<TableRows> outcome);
   void Apply(const TableRows& read, bool is_whole);
+  void Remove(const StoreRow& row);
 
   Scheduler& scheduler;
   RowStore& store;
@@ -85,6 +92,10 @@
   DidUpdate did_update;
   Rows row_by_key;
   std::optional<uint64_t> known_version;
+  uint64_t newest_change = 0;
+  // Rows that were removed after `removals_since`, with the version.
+  std::map<std::string, uint64_t> removed_by_key;
+  uint64_t removals_since = 0;
   Source source = Source::kStore;
   bool needs_whole_read = true;
   TimePoint newest_read_at{};
