LibMembership: Let homes hold half of a target's connections, beside its targets

(1) All homes together held nearly all connections of a target. (3) 295 proxies that come back write 295 rows at 250 a second before the last home may use a primary.

Change: ConnectionShares states the sum; homes are four connections each, at most sixteen where each proxy could be one, and in places with a target. A proxy that came back and is no home writes its row after two seconds. A proxy whose place has no home counts the silence of all homes as its own being cut off, and refuses at once while it is. The emulator loses power of all, counts messages, bytes and store calls by kind and sender, and no longer rewrites the entries of targets that say nothing new.

--- a/Libraries/LibCoordination/member_registration.cc
+++ b/Libraries/LibCoordination/member_registration.cc
@@ -13,6 +13,10 @@
 // Before the row is written again: the store's answer and the view's next read
 // take less.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(700);
+// A proxy that came back and is no home changes nothing for the others. The
+// store takes some hundred writes a second, so those of homes go first when
+// many come back at once.
+constexpr Duration kQuietDelay = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -53,6 +57,12 @@
       this->is_registered() && row->second.home_of == this->record.home_of;
   if (this->is_leaving || is_shown || now - this->written_at < kRetryInterval)
     return;
+  if (this->may_wait()) {
+    if (!this->came_back_at)
+      this->came_back_at = now;
+    if (now - *this->came_back_at < kQuietDelay)
+      return;
+  }
   this->written_at = now;
   spdlog::info("event=register address={} incarnation={} home_of={}",
                this->record.address, this->record.incarnation,
@@ -71,6 +81,15 @@
                      });
 }
 
+bool MemberRegistration::may_wait() const {
+  const auto row = this->view.members().find(this->record.address);
+  const bool has_come_back =
+      row != this->view.members().end() && !row->second.is_gone &&
+      row->second.incarnation != this->record.incarnation;
+  return has_come_back && this->record.home_of.empty() &&
+         row->second.home_of.empty();
+}
+
 void MemberRegistration::Leave() {
   this->is_leaving = true;
   const auto row = this->view.members().find(this->record.address);
--- a/Libraries/LibCoordination/member_registration.h
+++ b/Libraries/LibCoordination/member_registration.h
@@ -1,6 +1,7 @@
 #ifndef LIBCOORDINATION_MEMBER_REGISTRATION_H_
 #define LIBCOORDINATION_MEMBER_REGISTRATION_H_
 
+#include <optional>
 #include <set>
 
 #include "LibCoordination/coordination_view.h"
@@ -39,10 +40,15 @@
   const MemberRecord& self() const { return this->record; }
 
  private:
+  // Whether the row of an earlier start says the same but for the start.
+  bool may_wait() const;
+
   Scheduler& scheduler;
   RowStore& store;
   const CoordinationView& view;
   MemberRecord record;
+  // When this proxy first saw the row of its earlier start.
+  std::optional<TimePoint> came_back_at;
   bool is_leaving = false;
   TimePoint written_at{};
   LifeGuard life;
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -39,7 +39,8 @@
             Scheduler& scheduler,
             const TargetEndpoint& endpoint,
             LinkHandlers handlers)
-        : around(node.around),
+        : node(node),
+          around(node.around),
           from(node.node_address),
           to(endpoint.target),
           scheduler(scheduler),
@@ -69,7 +70,7 @@
       this->session->did_answer = nullptr;
       // The other end learns of it only if the path is whole.
       this->around.world.PostAfter(
-          this->is_cut() ? kLinger : kHop,
+          this->is_cut() || this->node.is_losing_power ? kLinger : kHop,
           [target = this->target, session = this->session] {
             target->CloseSession(session);
           });
@@ -121,6 +122,7 @@
       }));
     }
 
+    const EmulatedNode& node;
     Surroundings& around;
     std::string from;
     TargetName to;
@@ -153,26 +155,35 @@
             did_answer(answer);
         });
     this->scheduler.PostAfter(timeout, [finish] { finish(std::nullopt); });
+    std::vector<uint8_t> bytes = EncodeQuery(1, query);
+    this->node.around.traffic.DidAsk(this->node.node_address, query.index(),
+                                     bytes.size());
     if (this->node.around.cuts.is_cut(this->node.node_address, address))
       return;
     this->node.around.world.PostAfter(
-        kHop, [around = &this->node.around, own = this->node.node_address,
-               address, query, finish] {
+        kHop,
+        [around = &this->node.around, own = this->node.node_address, address,
+         kind = query.index(), bytes = std::move(bytes), finish] {
           EmulatedNode* peer = around->find_node(address);
           if (!peer || !peer->gateway() || peer->is_frozen())
             return;
           // Through the codec, as on a real link.
-          const auto received = DecodePeerBytes(EncodeQuery(1, query));
+          const auto received = DecodePeerBytes(bytes);
           KINGCUPMILL_VERIFY(received.has_value());
           peer->gateway()->HandleQuery(
               std::get<NumberedQuery>(*received).query,
-              [around, own, address, finish](const PeerAnswer& answer) {
+              [around, own, address, kind, finish](const PeerAnswer& answer) {
+                const std::vector<uint8_t> back = EncodeAnswer(1, answer);
+                around->traffic.DidAnswer(address, kind, back.size());
                 if (around->cuts.is_cut(own, address))
                   return;
-                around->world.PostAfter(kHop, [around, own, finish, answer] {
+                around->world.PostAfter(kHop, [around, own, finish, back] {
                   EmulatedNode* asker = around->find_node(own);
-                  if (asker && !asker->is_frozen())
-                    finish(answer);
+                  if (!asker || asker->is_frozen())
+                    return;
+                  const auto decoded = DecodePeerBytes(back);
+                  KINGCUPMILL_VERIFY(decoded.has_value());
+                  finish(std::get<NumberedAnswer>(*decoded).answer);
                 });
               });
         });
@@ -206,7 +217,11 @@
 struct EmulatedNode::Process {
   Process(EmulatedNode& node, uint64_t seed)
       : scheduler(node.around.world),
-        store(node.around.world, scheduler, node.around.store, seed),
+        store(node.around.world,
+              scheduler,
+              node.around.store,
+              node.around.traffic,
+              seed),
         dialer(node, scheduler),
         links(node, scheduler),
         authority(node, scheduler),
@@ -259,6 +274,12 @@
   this->process.reset();
 }
 
+void EmulatedNode::LosePower() {
+  this->is_losing_power = true;
+  this->process.reset();
+  this->is_losing_power = false;
+}
+
 void EmulatedNode::Stop(Duration grace, std::function<void()> did_end) {
   if (!this->process)
     return;
--- a/Libraries/LibEmulator/emulated_node.h
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -12,6 +12,7 @@
 #include "LibDirectory/directory_codec.h"
 #include "LibEmulator/emulated_group.h"
 #include "LibEmulator/emulated_store.h"
+#include "LibEmulator/emulated_traffic.h"
 #include "LibEmulator/node_scheduler.h"
 #include "LibGateway/gateway.h"
 
@@ -52,6 +53,7 @@
     VirtualScheduler& world;
     EmulatedStore& store;
     EmulatedCuts& cuts;
+    EmulatedTraffic& traffic;
     const DirectoryCodec& codec;
     std::map<GroupName, std::unique_ptr<EmulatedGroup>>& groups;
     FindNode find_node;
@@ -62,6 +64,9 @@
 
   void Start(uint64_t seed);
   void Kill();
+  // Kills the process and keeps its connections open at the targets for as long
+  // as these take to notice.
+  void LosePower();
   // Asks the process to stop, as a signal does, and kills it when it still runs
   // after `grace`. Calls `did_end` once the process is gone.
   void Stop(Duration grace, std::function<void()> did_end);
@@ -96,6 +101,7 @@
   PlaceName place;
   std::unique_ptr<Process> process;
   uint64_t starts = 0;
+  bool is_losing_power = false;
   std::function<void()> did_end_stop;
   SessionNumber next_session = 1;
   TimePoint frozen_until{};
--- a/Libraries/LibEmulator/emulated_store.cc
+++ b/Libraries/LibEmulator/emulated_store.cc
@@ -15,6 +15,12 @@
 
 }  // namespace
 
+bool EmulatedStore::has(const std::string& table,
+                        const std::string& key) const {
+  const auto found = this->tables.find(table);
+  return found != this->tables.end() && found->second.contains(key);
+}
+
 TableRows EmulatedStore::Snapshot(const std::string& table) const {
   TableRows read;
   read.version = this->version;
@@ -104,6 +110,7 @@
 }
 
 void EmulatedStoreAccess::Read(std::string_view table, DidRead did_read) {
+  this->traffic.DidCallStore();
   using Outcome = ValueOrError<TableRows>;
   if (this->fault == Fault::kRefuses)
     return this->Deliver<Outcome>(kCallTime, did_read,
@@ -119,6 +126,7 @@
                                  uint64_t version,
                                  Duration wait,
                                  DidRead did_read) {
+  this->traffic.DidCallStore();
   using Outcome = ValueOrError<TableRows>;
   if (this->fault == Fault::kRefuses || this->fault == Fault::kSilent)
     return this->Read(table, std::move(did_read));
@@ -141,6 +149,7 @@
 void EmulatedStoreAccess::Change(std::string_view table,
                                  TableChange change,
                                  DidChange did_change) {
+  this->traffic.DidCallStore();
   using Outcome = ValueOrError<ChangeOutcome>;
   if (this->fault == Fault::kRefuses)
     return this->Deliver<Outcome>(kCallTime, did_change,
--- a/Libraries/LibEmulator/emulated_store.h
+++ b/Libraries/LibEmulator/emulated_store.h
@@ -10,6 +10,7 @@
 #include "LibCore/life_guard.h"
 #include "LibCore/random_source.h"
 #include "LibCore/virtual_scheduler.h"
+#include "LibEmulator/emulated_traffic.h"
 #include "LibTables/row_store.h"
 
 namespace kingcupmill {
@@ -19,6 +20,7 @@
  public:
   explicit EmulatedStore(Scheduler& scheduler) : scheduler(scheduler) {}
 
+  bool has(const std::string& table, const std::string& key) const;
   // Returns a whole table, and the changes of a table after a version.
   TableRows Snapshot(const std::string& table) const;
   TableRows ChangesSince(const std::string& table, uint64_t version) const;
@@ -71,8 +73,13 @@
   EmulatedStoreAccess(VirtualScheduler& world,
                       Scheduler& scheduler,
                       EmulatedStore& store,
+                      EmulatedTraffic& traffic,
                       uint64_t seed)
-      : world(world), scheduler(scheduler), store(store), random(seed) {}
+      : world(world),
+        scheduler(scheduler),
+        store(store),
+        traffic(traffic),
+        random(seed) {}
 
   void SetFault(Fault fault) { this->fault = fault; }
 
@@ -94,6 +101,7 @@
   VirtualScheduler& world;
   Scheduler& scheduler;
   EmulatedStore& store;
+  EmulatedTraffic& traffic;
   SeededRandom random;
   Fault fault = Fault::kNone;
   LifeGuard life;
--- a/Libraries/LibEmulator/emulated_target.cc
+++ b/Libraries/LibEmulator/emulated_target.cc
@@ -96,8 +96,12 @@
 }
 
 std::shared_ptr<EmulatedSession> EmulatedTarget::OpenSession() {
-  if (!this->running || this->sessions.size() >= kMaximumSessions)
+  if (!this->running)
     return nullptr;
+  if (this->sessions.size() >= kMaximumSessions) {
+    ++this->refused_session_count;
+    return nullptr;
+  }
   auto session = std::make_shared<EmulatedSession>();
   this->sessions.insert(session);
   this->most_sessions_seen =
--- a/Libraries/LibEmulator/emulated_target.h
+++ b/Libraries/LibEmulator/emulated_target.h
@@ -73,6 +73,8 @@
 
   size_t session_count() const { return this->sessions.size(); }
   size_t most_sessions() const { return this->most_sessions_seen; }
+  // Connections that were turned away since there were too many.
+  size_t refused_sessions() const { return this->refused_session_count; }
 
   static constexpr size_t kMaximumSessions = 16;
 
@@ -104,6 +106,7 @@
   std::vector<CommitEntry> entries;
   std::set<std::shared_ptr<EmulatedSession>> sessions;
   size_t most_sessions_seen = 0;
+  size_t refused_session_count = 0;
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibEmulator/emulated_world.cc
+++ b/Libraries/LibEmulator/emulated_world.cc
@@ -82,6 +82,7 @@
       this->scheduler,
       this->emulated_store,
       this->cuts,
+      this->emulated_traffic,
       *this->codec,
       this->groups,
       [this](const std::string& address) -> EmulatedNode* {
@@ -140,6 +141,13 @@
   entry.slots = 2;
   entry.started_at_ms = this->starts[target.name()];
   entry.is_primary = target.is_primary();
+  // A heartbeat that says nothing new does not change the entry.
+  const bool is_shown =
+      this->emulated_store.has(kTargetsTable, target.name().value);
+  const auto known = this->published.find(target.name());
+  if (is_shown && known != this->published.end() && known->second == entry)
+    return;
+  this->published.insert_or_assign(target.name(), entry);
   this->emulated_store.Put(kTargetsTable, target.name().value,
                            this->codec->Add(std::move(entry)));
 }
@@ -207,6 +215,17 @@
   });
 }
 
+void EmulatedWorld::LosePowerOfAll(Duration down) {
+  for (const auto& node : this->nodes)
+    node->LosePower();
+  this->scheduler.PostAfter(down, [this] {
+    for (const auto& node : this->nodes) {
+      if (!node->gateway())
+        node->Start(this->random.Below(1U << 30U));
+    }
+  });
+}
+
 void EmulatedWorld::StopNode(size_t index, Duration down) {
   this->nodes[index]->Stop(kGrace, [this, index, down] {
     this->scheduler.PostAfter(down, [this, index] {
--- a/Libraries/LibEmulator/emulated_world.h
+++ b/Libraries/LibEmulator/emulated_world.h
@@ -14,6 +14,7 @@
 #include "LibEmulator/emulated_group.h"
 #include "LibEmulator/emulated_node.h"
 #include "LibEmulator/emulated_store.h"
+#include "LibEmulator/emulated_traffic.h"
 #include "LibEmulator/promise_checker.h"
 
 namespace kingcupmill {
@@ -41,6 +42,7 @@
   void HealAll();
 
   void KillNode(size_t index, Duration down);
+  void LosePowerOfAll(Duration down);
   // Stops a proxy as an operator does; it starts again `down` after its end.
   void StopNode(size_t index, Duration down);
   void FreezeNode(size_t index, Duration duration);
@@ -60,6 +62,7 @@
   EmulatedGroup& group(size_t index);
   EmulatedNode& node(size_t index) { return *this->nodes[index]; }
   PromiseChecker& checker() { return this->promise_checker; }
+  EmulatedTraffic& traffic() { return this->emulated_traffic; }
   EmulatedStore& store() { return this->emulated_store; }
   EmulatedCaller::Counts TotalCounts() const;
   // How many kinds of faults InjectFault() chooses from.
@@ -84,12 +87,14 @@
   PromiseChecker promise_checker;
   EmulatedStore emulated_store;
   EmulatedCuts cuts;
+  EmulatedTraffic emulated_traffic;
   std::unique_ptr<Codec> codec;
   std::map<GroupName, std::unique_ptr<EmulatedGroup>> groups;
   std::vector<std::unique_ptr<EmulatedNode>> nodes;
   std::vector<std::unique_ptr<EmulatedCaller>> callers;
   std::map<TargetName, int64_t> starts;
   std::map<TargetName, bool> is_leaving;
+  std::map<TargetName, TargetEntry> published;
   uint64_t revision = 0;
   EmulatedCuts::Fault fault = 0;
 };
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -50,8 +50,6 @@
 // proxy asks itself whether it is cut off.
 constexpr Duration kIsolatedSilence = std::chrono::milliseconds(500);
 constexpr Duration kAskOthersInterval = std::chrono::milliseconds(150);
-// Connections of a target that are kept for proxies that join or come back.
-constexpr int kReservedConnections = 2;
 // Entries of targets that lapsed with the store are back by then.
 constexpr Duration kDirectoryCertainAfter = std::chrono::milliseconds(3000);
 // New sessions stop coming about two seconds after the proxy says that it is
@@ -338,12 +336,11 @@
   return entries;
 }
 
-int Gateway::SharedConnections(const GroupName& group) const {
+ConnectionShares Gateway::SharesOf(const GroupName& group) const {
   const auto declared = this->routes->groups.find(group);
-  if (declared == this->routes->groups.end())
-    return 0;
-  return std::max(declared->second.maximum_connections - kReservedConnections,
-                  1);
+  return ConnectionShares(declared == this->routes->groups.end()
+                              ? 0
+                              : declared->second.maximum_connections);
 }
 
 std::vector<RelayDialer::Lender> Gateway::LendersOf(
@@ -357,9 +354,7 @@
 }
 
 size_t Gateway::LinkLimit(const GroupName& group) const {
-  const size_t homes = std::max<size_t>(this->roles.HomesOf(group).size(), 1);
-  return std::max<size_t>(
-      static_cast<size_t>(this->SharedConnections(group)) / homes, 1);
+  return this->SharesOf(group).LimitOfHome(this->roles.HomesOf(group).size());
 }
 
 Duration Gateway::PrimarySilence(const GroupName& group) const {
@@ -376,8 +371,8 @@
   for (const auto& [target, entry] : this->directory.targets())
     places_by_group[entry.group].insert(entry.place);
   for (const auto& [name, declaration] : this->routes->groups)
-    this->role_groups.push_back(HomeRoles::Group{
-        name, this->SharedConnections(name), places_by_group[name]});
+    this->role_groups.push_back(
+        HomeRoles::Group{name, this->SharesOf(name), places_by_group[name]});
 }
 
 void Gateway::UpdateRoles() {
@@ -421,6 +416,7 @@
             });
             return homes;
           },
+          [this] { return this->isolation.is_isolated(); },
           this->options.incarnation + "." + group.value});
     if (!this->home_groups.contains(group))
       continue;
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -27,6 +27,7 @@
 #include "LibGateway/gateway_session.h"
 #include "LibGateway/home_roles.h"
 #include "LibGateway/isolation_watch.h"
+#include "LibMembership/connection_shares.h"
 #include "LibPeer/peer_links.h"
 #include "LibPrimary/primary_leases.h"
 #include "LibRelay/forward_desk.h"
@@ -143,8 +144,7 @@
   HealthAnswer HandleHealth(const HealthQuery& query);
   std::vector<RelayDialer::Lender> LendersOf(const GroupName& group) const;
   std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
-  // Connections of one target of a group that all proxies may have together.
-  int SharedConnections(const GroupName& group) const;
+  ConnectionShares SharesOf(const GroupName& group) const;
   size_t LinkLimit(const GroupName& group) const;
   // How long a group's primary has been silent, by this proxy's own questions
   // or by the word of the homes of its place.
--- a/Libraries/LibGateway/home_roles.cc
+++ b/Libraries/LibGateway/home_roles.cc
@@ -14,10 +14,21 @@
 constexpr Duration kSettleTime = std::chrono::milliseconds(500);
 // Transactions end within this, and other proxies have learnt of the new home.
 constexpr Duration kRoleLinger = std::chrono::seconds(10);
-// Where there are more proxies than connections, a home has this many to each
-// target: statements of many proxies share them, and a transaction that rests
-// on one leaves others.
-constexpr int kConnectionsOfHome = 3;
+
+// Returns the members beside the targets, or all when there are none: a home
+// elsewhere sends each statement across places twice, and a cut of its place
+// would take it from all others.
+std::vector<Member> MembersAt(std::span<const Member> members,
+                              const std::set<PlaceName>& places) {
+  std::vector<Member> beside;
+  for (const Member& member : members) {
+    if (places.contains(member.place))
+      beside.push_back(member);
+  }
+  if (beside.empty())
+    beside.assign(members.begin(), members.end());
+  return beside;
+}
 
 }  // namespace
 
@@ -88,16 +99,13 @@
   if (self == this->members.end())
     return;
   for (const Group& group : this->groups) {
-    const bool is_everyone =
-        group.shared_connections >= static_cast<int>(this->members.size());
-    if (is_everyone) {
+    if (group.shares.suffices_for_all(this->members.size())) {
       this->chosen.insert(group.name);
       continue;
     }
-    const size_t count = static_cast<size_t>(
-        std::max(group.shared_connections / kConnectionsOfHome, 1));
     const std::vector<VmName> homes =
-        ChooseHomes(group.name, this->members, group.places, count);
+        ChooseHomes(group.name, MembersAt(this->members, group.places),
+                    group.places, group.shares.HomeCount());
     if (std::find(homes.begin(), homes.end(), self->vm) != homes.end())
       this->chosen.insert(group.name);
   }
--- a/Libraries/LibGateway/home_roles.h
+++ b/Libraries/LibGateway/home_roles.h
@@ -12,6 +12,7 @@
 #include "LibCoordination/coordination_view.h"
 #include "LibCore/names.h"
 #include "LibCore/time.h"
+#include "LibMembership/connection_shares.h"
 #include "LibMembership/member.h"
 #include "LibRelay/home_chooser.h"
 
@@ -24,8 +25,7 @@
  public:
   struct Group {
     GroupName name;
-    // Connections of one target that all proxies may have together.
-    int shared_connections = 1;
+    ConnectionShares shares;
     // Where its targets are.
     std::set<PlaceName> places;
     friend bool operator==(const Group&, const Group&) = default;
--- /dev/null
+++ b/Libraries/LibMembership/connection_shares_test.cc
@@ -0,0 +1,38 @@
+#include "LibMembership/connection_shares.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace kingcupmill {
+
+TEST_CASE("the connections of a target") {
+  SUBCASE("are enough for each proxy of a small installation") {
+    CHECK(ConnectionShares(16).suffices_for_all(7));
+    CHECK(ConnectionShares(16).LimitOfHome(7) == 1);
+    CHECK(ConnectionShares(30).LimitOfHome(7) == 2);
+  }
+
+  SUBCASE("are shared by few homes of a large one") {
+    CHECK_FALSE(ConnectionShares(88).suffices_for_all(295));
+    CHECK_FALSE(ConnectionShares(107).suffices_for_all(75));
+    CHECK(ConnectionShares(88).HomeCount() == 10);
+    CHECK(ConnectionShares(88).LimitOfHome(10) == 4);
+    CHECK(ConnectionShares(27).HomeCount() == 3);
+  }
+
+  SUBCASE("suffice when all proxies lose power and come back at once") {
+    CHECK(rc::check([] {
+      const int maximum = *rc::gen::inRange(6, 200);
+      const ConnectionShares shares(maximum);
+      const size_t homes = shares.HomeCount();
+      const size_t lost = homes * shares.LimitOfHome(homes);
+      RC_ASSERT(2 * lost <= static_cast<size_t>(maximum));
+    }));
+    // A small installation where every proxy is a home.
+    for (const int maximum : {16, 21, 30})
+      CHECK(2 * 7 * ConnectionShares(maximum).LimitOfHome(7) <=
+            static_cast<size_t>(maximum));
+  }
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibRelay/forwarding_group.cc
+++ b/Libraries/LibRelay/forwarding_group.cc
@@ -167,12 +167,15 @@
   const TimePoint now = this->context.scheduler.Now();
   const std::vector<Home> homes = this->context.homes();
   std::optional<std::string> address;
-  if (work->attempts < kMaximumAttempts)
+  const bool is_hopeless = this->context.is_cut_off() && !this->has_home_here();
+  if (work->attempts < kMaximumAttempts && !is_hopeless)
     address = this->context.chooser.Choose(homes, work->avoided, now);
   if (address)
     return this->Send(work, *address);
   if (work->running > 0)
     return;
+  if (is_hopeless)
+    return this->Refuse(work);
   const TimePoint held_until =
       work->request.received_at +
       duration_cast<Duration>(work->request.route.response_goal * kHoldShare);
@@ -216,7 +219,7 @@
   if (is_repeatable && work->attempts == 1)
     work->hedge_timer = this->context.scheduler.PostAfter(
         kHedgeAfter, this->life.Wrap([this, work] { this->DidHangOn(work); }));
-  this->context.chooser.DidSend(address);
+  this->context.chooser.DidSend(address, now);
   this->context.peers.Ask(
       address, query, left + kAnswerMargin,
       this->life.Wrap([this, work, address, name = query.name](
@@ -238,7 +241,16 @@
   this->told_at = this->context.scheduler.Now();
 }
 
+bool ForwardingGroup::has_home_here() const {
+  const std::vector<Home> homes = this->context.homes();
+  return std::any_of(homes.begin(), homes.end(), [this](const Home& home) {
+    return home.place == this->context.place;
+  });
+}
+
 Duration ForwardingGroup::PrimarySilence() const {
+  if (!this->has_home_here())
+    return this->context.chooser.Silence(this->context.scheduler.Now());
   const bool is_recent =
       this->context.scheduler.Now() - this->told_at < kWordLife;
   return is_recent ? this->told_silence : Duration(0);
@@ -272,7 +284,7 @@
     this->context.chooser.DidDecline(address, now);
     return this->Try(work);
   }
-  this->context.chooser.DidAnswer(address);
+  this->context.chooser.DidAnswer(address, now);
   this->DidHearOfPrimary(address, forwarded->primary_silence);
   // Another attempt was answered first.
   if (work->is_finished) {
--- a/Libraries/LibRelay/forwarding_group.h
+++ b/Libraries/LibRelay/forwarding_group.h
@@ -36,6 +36,8 @@
     // Where this proxy is.
     PlaceName place;
     Homes homes;
+    // Whether this proxy is known to be cut off from other places.
+    std::function<bool()> is_cut_off;
     // Makes the names of questions unique.
     std::string name_prefix;
   };
@@ -48,7 +50,8 @@
   void Cancel(WorkNumber number) override;
 
   // How long the primary has left the homes of this place without an answer, by
-  // their latest word; zero when there is none.
+  // their latest word; zero when there is none. Where no home is in this place,
+  // how long all homes have been silent.
   Duration PrimarySilence() const;
 
   size_t open_count() const { return this->work_by_number.size(); }
@@ -77,6 +80,8 @@
 
   Context context;
   std::map<WorkNumber, WorkPointer> work_by_number;
+  bool has_home_here() const;
+
   // The latest word of a home of this place, and when it came.
   Duration told_silence{};
   TimePoint told_at{};
--- a/Libraries/LibRelay/home_chooser.cc
+++ b/Libraries/LibRelay/home_chooser.cc
@@ -50,8 +50,11 @@
   return best[this->random.Below(best.size())]->address;
 }
 
-void HomeChooser::DidSend(const std::string& address) {
+void HomeChooser::DidSend(const std::string& address, TimePoint now) {
   ++this->health_by_address[address].in_flight;
+  ++this->unanswered;
+  if (!this->silent_since)
+    this->silent_since = now;
 }
 
 void HomeChooser::DidEnd(const std::string& address) {
@@ -59,15 +62,24 @@
   KINGCUPMILL_VERIFY(health != this->health_by_address.end() &&
                      health->second.in_flight > 0);
   --health->second.in_flight;
+  --this->unanswered;
 }
 
-void HomeChooser::DidAnswer(const std::string& address) {
+void HomeChooser::DidHear(TimePoint now) {
+  this->silent_since.reset();
+  if (this->unanswered > 0)
+    this->silent_since = now;
+}
+
+void HomeChooser::DidAnswer(const std::string& address, TimePoint now) {
   this->DidEnd(address);
+  this->DidHear(now);
   this->health_by_address[address].passed_over_until = TimePoint{};
 }
 
 void HomeChooser::DidDecline(const std::string& address, TimePoint now) {
   this->DidEnd(address);
+  this->DidHear(now);
   this->health_by_address[address].passed_over_until = now + kDeclinePause;
 }
 
@@ -76,6 +88,10 @@
   this->health_by_address[address].passed_over_until = now + kFailurePause;
 }
 
+Duration HomeChooser::Silence(TimePoint now) const {
+  return this->silent_since ? now - *this->silent_since : Duration(0);
+}
+
 size_t HomeChooser::in_flight(const std::string& address) const {
   const auto health = this->health_by_address.find(address);
   return health == this->health_by_address.end() ? 0 : health->second.in_flight;
--- a/Libraries/LibRelay/home_chooser.h
+++ b/Libraries/LibRelay/home_chooser.h
@@ -34,9 +34,9 @@
                                     const std::set<std::string>& avoided,
                                     TimePoint now);
 
-  void DidSend(const std::string& address);
+  void DidSend(const std::string& address, TimePoint now);
   // Each sending is followed by one of these.
-  void DidAnswer(const std::string& address);
+  void DidAnswer(const std::string& address, TimePoint now);
   // The home does not take work: it drains, or is no home any more.
   void DidDecline(const std::string& address, TimePoint now);
   // It did not answer, or could not be reached.
@@ -44,6 +44,10 @@
 
   size_t in_flight(const std::string& address) const;
 
+  // How long all homes have been silent: from the first question after the last
+  // answer of any of them.
+  Duration Silence(TimePoint now) const;
+
  private:
   struct Health {
     size_t in_flight = 0;
@@ -51,10 +55,14 @@
   };
 
   void DidEnd(const std::string& address);
+  void DidHear(TimePoint now);
 
   PlaceName place;
   SeededRandom random;
   std::map<std::string, Health> health_by_address;
+  // Questions to all homes that have no answer.
+  size_t unanswered = 0;
+  std::optional<TimePoint> silent_since;
 };
 
 }  // namespace kingcupmill
