--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -119,7 +119,10 @@
             greeting.position = point;
             this->DidReceiveFrom(*found->second, greeting, sent_at);
           });
-      events.did_fail = [](LinkFailure) {};
+      events.did_fail = this->life.Wrap([this](LinkFailure failure) {
+        if (failure == LinkFailure::kConnectionLimit)
+          ++this->limit_refusal_count;
+      });
       view = std::make_shared<TargetView>(
           entry, std::make_unique<LinkPool>(
                      this->scheduler, this->dialers,
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -76,6 +76,8 @@
     return this->target_by_name;
   }
   size_t queue_length() const { return this->queue.size(); }
+  // Connections that targets turned away because they had too many.
+  uint64_t limit_refusals() const { return this->limit_refusal_count; }
 
   // A link for the proxy's own commands to a target, if one is open.
   std::shared_ptr<TargetLink> ControlLink(const TargetName& target);
@@ -171,6 +173,7 @@
   };
   std::map<WorkNumber, AtPrimary> at_primary;
   SentStatements sent_statements;
+  uint64_t limit_refusal_count = 0;
   WorkNumber next_number = 1;
   bool is_dispatching = false;
   bool has_more_to_dispatch = false;
--- a/Libraries/LibEmulator/emulated_world.cc
+++ b/Libraries/LibEmulator/emulated_world.cc
@@ -297,9 +297,11 @@
 
 void EmulatedWorld::ReleaseTarget(const TargetName& name) {
   this->is_leaving[name] = true;
+  this->promise_checker.DidStartLeaving(name);
   this->scheduler.PostAfter(kLeavingTime, [this, name] {
     this->CrashTarget(name, kStartTime);
     this->is_leaving[name] = false;
+    this->promise_checker.DidStopLeaving(name);
   });
 }
 
--- a/Libraries/LibEmulator/emulated_world_test.cc
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -77,6 +77,25 @@
     world.RunFor(std::chrono::seconds(5));
     CHECK(world.group(0).leader().name() != leaving);
     CHECK(FirstViolation(world) == "");
+
+    SUBCASE("and give it no new work soon after") {
+      world.RunFor(std::chrono::seconds(3));
+      CHECK(world.checker().longest_use_of_leaving() <
+            std::chrono::milliseconds(2500));
+    }
+  }
+
+  SUBCASE("give no new work to a replica that leaves") {
+    world.RunFor(std::chrono::seconds(2));
+    const TargetName primary = world.group(0).leader().name();
+    for (const auto& target : world.group(0).targets()) {
+      if (target->name() != primary)
+        world.ReleaseTarget(target->name());
+    }
+    world.RunFor(std::chrono::seconds(8));
+    CHECK(world.checker().longest_use_of_leaving() <
+          std::chrono::milliseconds(2500));
+    CHECK(FirstViolation(world) == "");
   }
 
   SUBCASE("do not replace a primary for one proxy that is cut off from it") {
@@ -299,6 +318,38 @@
     CHECK(FirstViolation(world) == "");
   }
 
+  SUBCASE("have each configuration in force within a second, never back") {
+    std::vector<Revision> seen(options.nodes);
+    for (int change = 0; change < 8; ++change) {
+      world.ChangeConfiguration();
+      world.RunFor(std::chrono::milliseconds(400));
+      for (size_t index = 0; index < options.nodes; ++index) {
+        const Revision now = world.node(index).gateway()->revision();
+        CHECK(now >= seen[index]);
+        seen[index] = now;
+      }
+    }
+    world.RunFor(std::chrono::milliseconds(600));
+    for (size_t index = 0; index < options.nodes; ++index)
+      CHECK(world.node(index).gateway()->revision() ==
+            world.node(0).gateway()->revision());
+    CHECK(world.node(0).gateway()->revision() > Revision{8});
+
+    SUBCASE("also where the store turns the readers away") {
+      for (size_t index = 0; index < options.nodes; index += 3)
+        world.FailStore(index, EmulatedStoreAccess::Fault::kRefuses,
+                        std::chrono::seconds(9));
+      world.RunFor(std::chrono::seconds(1));
+      world.ChangeConfiguration();
+      // The bound of a site of this size.
+      world.RunFor(std::chrono::seconds(5));
+      for (size_t index = 0; index < options.nodes; ++index)
+        CHECK(world.node(index).gateway()->revision() ==
+              world.node(1).gateway()->revision());
+      CHECK(world.node(1).gateway()->revision() > Revision{9});
+    }
+  }
+
   SUBCASE("serve again soon after all of them lost power") {
     world.LosePowerOfAll(std::chrono::milliseconds(1200));
     world.RunFor(std::chrono::milliseconds(2400));
--- a/Libraries/LibEmulator/promise_checker.cc
+++ b/Libraries/LibEmulator/promise_checker.cc
@@ -26,8 +26,20 @@
   this->sent_by_request.insert_or_assign(request_id, std::move(sent));
 }
 
+void PromiseChecker::DidStartLeaving(const TargetName& target) {
+  this->leaving_since.emplace(target, this->now());
+}
+
+void PromiseChecker::DidStopLeaving(const TargetName& target) {
+  this->leaving_since.erase(target);
+}
+
 std::string PromiseChecker::DidRun(const Run& run) {
   ++this->run_count;
+  if (const auto leaving = this->leaving_since.find(run.target);
+      leaving != this->leaving_since.end())
+    this->longest_leaving_use =
+        std::max(this->longest_leaving_use, this->now() - leaving->second);
   const auto found = this->sent_by_request.find(run.request_id);
   if (found == this->sent_by_request.end()) {
     this->Break("UNASKED", run.request_id + " was never sent");
--- a/Libraries/LibEmulator/promise_checker.h
+++ b/Libraries/LibEmulator/promise_checker.h
@@ -81,6 +81,12 @@
   // A proxy that was not lost ended a session before it answered a statement.
   void DidCut(const std::string& request_id);
 
+  // A target has said that it is leaving.
+  void DidStartLeaving(const TargetName& target);
+  void DidStopLeaving(const TargetName& target);
+  // How long after that a statement last ran at a leaving target.
+  Duration longest_use_of_leaving() const { return this->longest_leaving_use; }
+
   // Returns the newest commit of an attempt, if there is one.
   std::optional<CommitEntry> CommitOf(const std::string& attempt) const;
 
@@ -114,6 +120,8 @@
   std::map<GroupName, std::vector<std::string>> acknowledged_by_group;
   std::map<GroupName, Leader> leaders;
   std::set<std::string> promised;
+  std::map<TargetName, TimePoint> leaving_since;
+  Duration longest_leaving_use{};
   std::vector<std::string> broken;
   uint64_t acknowledged_count = 0;
   uint64_t run_count = 0;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -760,9 +760,11 @@
     text += fmt::format(
         "kingcupmill_lease_held{{group=\"{0}\"}} {1}\n"
         "kingcupmill_queue{{group=\"{0}\"}} {2}\n"
+        "kingcupmill_connection_limit_refusals_total{{group=\"{0}\"}} {4}\n"
         "kingcupmill_primary_silence_seconds{{group=\"{0}\"}} {3:.3f}\n",
         group.value, lease ? 1 : 0, dispatcher->queue_length(),
-        std::chrono::duration<double>(dispatcher->PrimarySilence()).count());
+        std::chrono::duration<double>(dispatcher->PrimarySilence()).count(),
+        dispatcher->limit_refusals());
   }
   return text;
 }
