LibCoordination: Let a proxy without traffic notice that its place is cut off

Cause: a proxy in a place without homes judged by the silence of the homes it asked, so one without callers stayed ready in a cut (ten of twenty proxies in the emulated cut of a place without targets).

Change: MemberWatch, split from FailoverAgent, asks one proxy of another place each second and tells since when all of them have been silent. The emulator has up to five places, a balancer that asks for readiness, cuts of places and proxies that join.

New stories with a hundred proxies in five places, targets in three: the cut of a place without a target costs the others nothing, the cut of one with targets, ninety proxies that join at once, a restart in turn amid two releases, a third cut off for twelve seconds.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -1,7 +1,5 @@
 #include "LibCoordination/failover_agent.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -34,19 +32,6 @@
 constexpr Duration kLargePartAfter = std::chrono::milliseconds(700);
 // Each proxy waits this much longer than the one before it in the order.
 constexpr Duration kRankDelay = std::chrono::milliseconds(200);
-// A proxy that has not been heard for this long has no place in the order.
-constexpr Duration kHeardLife = std::chrono::seconds(4);
-// A proxy that has not been heard for this long is marked as gone.
-constexpr Duration kGoneAfter = std::chrono::seconds(12);
-constexpr Duration kPingInterval = std::chrono::milliseconds(1000);
-// Each proxy watches this many others, so that it takes as many lost ones at
-// once for a lost proxy to stay unnoticed.
-constexpr size_t kWatchedMembers = 3;
-// Homes are asked in one round of so many; two rounds fit into kHeardLife.
-constexpr uint64_t kRoundsBetweenHomes = 2;
-// Proxies of other places that are asked in one round whether this one is cut
-// off; any answer tells.
-constexpr size_t kAskedOfOtherPlaces = 6;
 // After a planned change that was put off.
 constexpr Duration kPlannedRetry = std::chrono::milliseconds(1200);
 // A leaving primary that could not be replaced until now has to go, whatever
@@ -66,7 +51,6 @@
            this->context.incarnation) {}
 
 void FailoverAgent::Tick() {
-  this->PingMembers();
   if (!this->is_leaving) {
     for (const GroupName& group : this->context.groups())
       this->TickGroup(group);
@@ -242,7 +226,7 @@
                   answer ? std::get_if<HealthAnswer>(&*answer) : nullptr;
               if (!health)
                 return;
-              this->DidHear(address);
+              this->context.watch.DidHear(address);
               const auto suspicion = this->suspicions.find(group);
               if (suspicion == this->suspicions.end())
                 return;
@@ -292,7 +276,7 @@
     }
     did_finish = true;
     for (const std::string& address : entry->second->absent())
-      this->MarkGone(address);
+      this->context.watch.MarkGone(address);
     this->suspicions.erase(entry->first);
     this->triggered_at.erase(entry->first);
     this->not_before[entry->first] = now + kPlannedRetry;
@@ -302,81 +286,6 @@
     this->duty.Release();
 }
 
-void FailoverAgent::MarkGone(const std::string& address) {
-  const auto& members = this->context.view.members();
-  const auto member = members.find(address);
-  if (member == members.end() || member->second.is_gone)
-    return;
-  this->context.journal.Write(EventJournal::Kind::kBelief,
-                              "event=member_gone member={}", address);
-  MemberRecord gone = member->second;
-  gone.is_gone = true;
-  const std::string key = CoordinationView::MemberKey(address);
-  TableChange change;
-  change.expected.push_back({key, member->second.version});
-  change.puts.push_back({key, CoordinationView::Encode(gone)});
-  this->context.store.Change(CoordinationView::kTable, std::move(change),
-                             [](const ValueOrError<ChangeOutcome>&) {
-                               // Tried again while it stays silent.
-                             });
-}
-
-void FailoverAgent::ForgetGone() {
-  const TimePoint now = this->context.scheduler.Now();
-  for (const auto& [address, member] : this->context.view.members()) {
-    const auto gone_at = this->context.view.gone_seen_at(address);
-    if (!gone_at || now < *gone_at + 2 * this->context.lease_wait)
-      continue;
-    // One member does it: the last before it in the ring.
-    const std::vector<std::string> followers = this->FollowersOf(address);
-    if (followers.empty() || followers.back() != this->context.self_address)
-      continue;
-    const std::string key = CoordinationView::MemberKey(address);
-    TableChange change;
-    change.expected.push_back({key, member.version});
-    change.removals.push_back(key);
-    this->context.store.Change(CoordinationView::kTable, std::move(change),
-                               [](const ValueOrError<ChangeOutcome>&) {
-                                 // Tried again while the row is there.
-                               });
-  }
-}
-
-void FailoverAgent::DidHear(const std::string& address) {
-  this->heard_at[address] = this->context.scheduler.Now();
-}
-
-TimePoint FailoverAgent::HeardAt(const std::string& address) const {
-  const auto found = this->heard_at.find(address);
-  return found == this->heard_at.end() ? TimePoint{} : found->second;
-}
-
-void FailoverAgent::AskOtherPlaces(const PlaceName& own_place) {
-  std::vector<std::string> others;
-  for (const auto& [address, member] : this->context.view.members()) {
-    if (member.place != own_place && !member.is_gone)
-      others.push_back(address);
-  }
-  const size_t count = std::min(kAskedOfOtherPlaces, others.size());
-  for (size_t asked = 0; asked < count; ++asked)
-    this->Ping(others[this->next_other_place++ % others.size()]);
-}
-
-void FailoverAgent::Ping(const std::string& address) {
-  this->context.peers.Ask(
-      address, HealthQuery{}, kAskTimeout,
-      this->life.Wrap([this, address](const auto& answer) {
-        if (answer && std::holds_alternative<HealthAnswer>(*answer))
-          this->DidHear(address);
-      }));
-}
-
-bool FailoverAgent::is_heard(const std::string& address) const {
-  const auto heard = this->heard_at.find(address);
-  return heard != this->heard_at.end() &&
-         this->context.scheduler.Now() - heard->second < kHeardLife;
-}
-
 std::vector<std::string> FailoverAgent::OtherHomes(
     const GroupName& group) const {
   std::vector<std::string> homes;
@@ -395,7 +304,7 @@
     return 0;
   size_t rank = 0;
   for (const std::string& address : this->OtherHomes(group)) {
-    if (!this->is_heard(address))
+    if (!this->context.watch.is_heard(address))
       continue;
     const auto& member = this->context.view.members().at(address);
     if (address < this->context.self_address || member.vm == duty.holder)
@@ -404,75 +313,6 @@
   return rank;
 }
 
-std::vector<std::string> FailoverAgent::FollowersOf(
-    const std::string& address) const {
-  using Place = std::pair<uint64_t, std::string>;
-  const auto place_of = [](const std::string& member) {
-    return Place(XXH64(member.data(), member.size(), 0), member);
-  };
-  std::vector<Place> ring;
-  for (const auto& [other, member] : this->context.view.members()) {
-    if (other != address && !member.is_gone)
-      ring.push_back(place_of(other));
-  }
-  std::sort(ring.begin(), ring.end());
-  const auto next =
-      std::upper_bound(ring.begin(), ring.end(), place_of(address));
-  std::rotate(ring.begin(), next, ring.end());
-  std::vector<std::string> followers;
-  followers.reserve(ring.size());
-  for (auto& [hash, follower] : ring)
-    followers.push_back(std::move(follower));
-  return followers;
-}
-
-std::vector<std::string> FailoverAgent::Watched() const {
-  std::vector<std::string> watched =
-      this->FollowersOf(this->context.self_address);
-  watched.resize(std::min(watched.size(), kWatchedMembers));
-  return watched;
-}
-
-void FailoverAgent::PingMembers() {
-  const TimePoint now = this->context.scheduler.Now();
-  if (now - this->pinged_at < kPingInterval)
-    return;
-  this->pinged_at = now;
-  const std::vector<std::string> watched = this->Watched();
-  this->MarkSilent(watched);
-  std::set<std::string> asked(watched.begin(), watched.end());
-  // Homes of the same groups are asked too, if less often: only the live have a
-  // place in the order of those that replace a primary.
-  if (this->ping_round++ % kRoundsBetweenHomes == 0) {
-    for (const GroupName& group : this->context.groups()) {
-      for (const std::string& address : this->OtherHomes(group))
-        asked.insert(address);
-    }
-  }
-  // Silence counts from the first question after a time without any.
-  std::erase_if(this->heard_at, [&](const auto& heard) {
-    return !asked.contains(heard.first) && now - heard.second >= kHeardLife;
-  });
-  for (const std::string& address : asked)
-    this->Ping(address);
-}
-
-void FailoverAgent::MarkSilent(std::span<const std::string> watched) {
-  const TimePoint now = this->context.scheduler.Now();
-  // Who hears none of them is itself cut off.
-  const bool hears_any = std::any_of(
-      watched.begin(), watched.end(),
-      [this](const std::string& address) { return this->is_heard(address); });
-  for (const std::string& address : watched) {
-    const TimePoint heard =
-        this->heard_at.try_emplace(address, now).first->second;
-    if (hears_any && now - heard > kGoneAfter)
-      this->MarkGone(address);
-  }
-  if (hears_any)
-    this->ForgetGone();
-}
-
 void FailoverAgent::Leave() {
   // What has been started goes on while the process lasts. An order may be
   // under way, so the duty is released only at the end of it.
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -13,6 +13,7 @@
 #include "LibCoordination/coordination_view.h"
 #include "LibCoordination/duty_lease.h"
 #include "LibCoordination/handover.h"
+#include "LibCoordination/member_watch.h"
 #include "LibCore/life_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibDirectory/target_entry.h"
@@ -32,6 +33,7 @@
     RowStore& store;
     const CoordinationView& view;
     PeerLinks& peers;
+    MemberWatch& watch;
     PromotionAuthority& authority;
     EventJournal& journal;
     VmName self;
@@ -53,15 +55,6 @@
   // Goes on where something has changed. Called at short intervals.
   void Tick();
 
-  // A peer has answered or asked.
-  void DidHear(const std::string& address);
-
-  // When a member was last heard; zero time when never.
-  TimePoint HeardAt(const std::string& address) const;
-
-  // Asks some members of other places for a sign of life.
-  void AskOtherPlaces(const PlaceName& own_place);
-
   // Starts nothing any more; ends what is under way.
   void Leave();
 
@@ -93,22 +86,14 @@
                      GroupDispatcher& dispatcher,
                      Trigger trigger);
   void FinishHandovers();
-  void MarkGone(const std::string& address);
   // Removes members that have been gone for so long that nobody waits for them.
-  void ForgetGone();
-  void PingMembers();
-  void Ping(const std::string& address);
   // Marks those of `watched` that have been silent for too long.
-  void MarkSilent(std::span<const std::string> watched);
   // The members that are not gone, in a ring by hash, from the one after
   // `address` on.
-  std::vector<std::string> FollowersOf(const std::string& address) const;
   // The members that this proxy watches: its next ones in the ring, so that the
   // work of one proxy does not grow with their number.
-  std::vector<std::string> Watched() const;
   // Other members that may use a group's primary.
   std::vector<std::string> OtherHomes(const GroupName& group) const;
-  bool is_heard(const std::string& address) const;
   // How many homes of the group come before this one.
   size_t Rank(const GroupName& group) const;
   const PrimaryRecord* Find(const GroupName& group) const;
@@ -121,10 +106,6 @@
   std::map<GroupName, TimePoint> leaving_since;
   std::map<GroupName, TimePoint> not_before;
   std::map<GroupName, TimePoint> created_at;
-  std::map<std::string, TimePoint> heard_at;
-  TimePoint pinged_at{};
-  uint64_t ping_round = 0;
-  size_t next_other_place = 0;
   bool is_leaving = false;
   LifeGuard life;
 };
--- a/Libraries/LibEmulator/emulated_world.cc
+++ b/Libraries/LibEmulator/emulated_world.cc
@@ -1,5 +1,8 @@
 #include "LibEmulator/emulated_world.h"
 
+#include <fmt/format.h>
+
+#include <numeric>
 #include <utility>
 
 #include "LibEmulator/node_caller_port.h"
@@ -24,7 +27,13 @@
 // A split lasts longer than a lease, so that the primary is replaced in it.
 constexpr Duration kLongSplit = std::chrono::seconds(9);
 
-const char* const kPlaces[] = {"place-a", "place-b", "place-c"};
+const char* const kPlaces[] = {"place-a", "place-b", "place-c", "place-d",
+                               "place-e"};
+constexpr size_t kTargetPlaces = 3;
+
+size_t PlaceOfTarget(const TargetName& target) {
+  return static_cast<size_t>(target.value.back()) % kTargetPlaces;
+}
 
 }  // namespace
 
@@ -71,14 +80,23 @@
       random(options.seed),
       promise_checker([this] { return this->scheduler.Now(); }),
       emulated_store(this->scheduler),
-      codec(std::make_unique<Codec>()) {
+      codec(std::make_unique<Codec>()),
+      balancer(this->scheduler, [this](size_t index) {
+        EmulatedNode& node = *this->nodes[index];
+        return node.gateway() && !node.is_frozen() &&
+               node.gateway()->is_ready();
+      }) {
   for (size_t index = 0; index < options.groups; ++index) {
     const GroupName name{"group-" + std::to_string(index)};
     this->groups.emplace(name, std::make_unique<EmulatedGroup>(
                                    this->scheduler, this->promise_checker, name,
                                    options.seed * 31 + index));
   }
-  EmulatedNode::Surroundings around{
+  this->AddNodes(options.nodes);
+}
+
+EmulatedNode::Surroundings EmulatedWorld::SurroundingsOfNodes() {
+  return EmulatedNode::Surroundings{
       this->scheduler,
       this->emulated_store,
       this->cuts,
@@ -86,17 +104,26 @@
       *this->codec,
       this->groups,
       [this](const std::string& address) -> EmulatedNode* {
-        for (const auto& node : this->nodes) {
-          if (node->address() == address)
-            return node.get();
-        }
-        return nullptr;
+        const auto node = this->node_by_address.find(address);
+        return node == this->node_by_address.end() ? nullptr : node->second;
       }};
-  for (size_t index = 0; index < options.nodes; ++index) {
-    this->nodes.push_back(std::make_unique<EmulatedNode>(
-        around, "10.0.0." + std::to_string(index + 1) + ":7000",
-        PlaceName{kPlaces[index % 3]}));
+}
+
+void EmulatedWorld::AddNodes(size_t count) {
+  const size_t first = this->nodes.size();
+  for (size_t index = first; index < first + count; ++index) {
+    auto node = std::make_unique<EmulatedNode>(
+        this->SurroundingsOfNodes(),
+        fmt::format("10.0.{}.{}:7000", index / 250, index % 250 + 1),
+        PlaceName{kPlaces[this->PlaceOf(index)]});
+    this->node_by_address.emplace(node->address(), node.get());
+    this->nodes.push_back(std::move(node));
   }
+  if (!this->is_started)
+    return;
+  for (size_t index = first; index < first + count; ++index)
+    this->nodes[index]->Start(this->random.Below(1U << 30U));
+  this->balancer.Start(this->nodes.size());
 }
 
 EmulatedWorld::~EmulatedWorld() {
@@ -136,7 +163,7 @@
   entry.name = target.name();
   entry.group = group;
   entry.address = target.name().value;
-  entry.place = PlaceName{kPlaces[target.name().value.back() % 3]};
+  entry.place = PlaceName{kPlaces[PlaceOfTarget(target.name())]};
   entry.state = leaving ? TargetState::kLeaving : TargetState::kReady;
   entry.slots = 2;
   entry.started_at_ms = this->starts[target.name()];
@@ -167,6 +194,8 @@
   this->PublishRoles();
   for (size_t index = 0; index < this->nodes.size(); ++index)
     this->nodes[index]->Start(this->options.seed * 101 + index);
+  this->is_started = true;
+  this->balancer.Start(this->nodes.size());
   this->RunFor(std::chrono::seconds(4));
   for (size_t index = 0; index < this->options.callers; ++index) {
     const auto kind = static_cast<RouteKind>(index % 3);
@@ -187,10 +216,20 @@
   }
 }
 
+std::vector<size_t> EmulatedWorld::Candidates() const {
+  if (this->options.has_balancer)
+    return this->balancer.InRotation();
+  std::vector<size_t> all(this->nodes.size());
+  std::iota(all.begin(), all.end(), size_t{0});
+  return all;
+}
+
 std::unique_ptr<CallerPort> EmulatedWorld::OpenPort(
     CallerChannel& channel,
     const std::string& database) {
-  EmulatedNode& node = *this->nodes[this->random.Below(this->nodes.size())];
+  const std::vector<size_t> candidates = this->Candidates();
+  EmulatedNode& node =
+      *this->nodes[candidates[this->random.Below(candidates.size())]];
   const auto number = node.OpenSession(channel, database);
   return number ? std::make_unique<NodeCallerPort>(node, *number) : nullptr;
 }
@@ -282,6 +321,26 @@
   });
 }
 
+void EmulatedWorld::CutPlace(size_t place, Duration duration) {
+  const EmulatedCuts::Fault own = ++this->fault;
+  for (size_t index = 0; index < this->nodes.size(); ++index) {
+    const bool is_inside = this->PlaceOf(index) == place;
+    if (is_inside)
+      this->FailStore(index, EmulatedStoreAccess::Fault::kSilent, duration);
+    for (const auto& [name, group] : this->groups) {
+      for (const auto& target : group->targets()) {
+        if ((PlaceOfTarget(target->name()) == place) != is_inside)
+          this->CutNodeFromTarget(index, target->name());
+      }
+    }
+    for (size_t other = 0; is_inside && other < this->nodes.size(); ++other) {
+      if (this->PlaceOf(other) != place)
+        this->CutNodes(index, other);
+    }
+  }
+  this->scheduler.PostAfter(duration, [this, own] { this->cuts.Heal(own); });
+}
+
 void EmulatedWorld::CrashTarget(const TargetName& name, Duration down) {
   EmulatedTarget& target = *this->groups.at(this->GroupOf(name))->Find(name);
   if (!target.is_running())
--- a/Libraries/LibEmulator/emulated_world.h
+++ b/Libraries/LibEmulator/emulated_world.h
@@ -10,6 +10,7 @@
 #include "LibCore/random_source.h"
 #include "LibCore/virtual_scheduler.h"
 #include "LibDirectory/directory_codec.h"
+#include "LibEmulator/emulated_balancer.h"
 #include "LibEmulator/emulated_caller.h"
 #include "LibEmulator/emulated_group.h"
 #include "LibEmulator/emulated_node.h"
@@ -27,6 +28,10 @@
     size_t nodes = 5;
     size_t groups = 1;
     size_t callers = 12;
+    // Places of proxies; targets are in the first three.
+    size_t places = 3;
+    // Whether callers go only where the balancer sends them; else to any proxy.
+    bool has_balancer = false;
   };
 
   explicit EmulatedWorld(Options options);
@@ -43,6 +48,12 @@
 
   void KillNode(size_t index, Duration down);
   void LosePowerOfAll(Duration down);
+  // Starts proxies at new addresses.
+  void AddNodes(size_t count);
+  // Cuts a place off: its proxies from the store, and its proxies and targets
+  // from everything outside. Callers of its proxies stay with them.
+  void CutPlace(size_t place, Duration duration);
+  size_t PlaceOf(size_t node) const { return node % this->options.places; }
   // Stops a proxy as an operator does; it starts again `down` after its end.
   void StopNode(size_t index, Duration down);
   void FreezeNode(size_t index, Duration duration);
@@ -76,6 +87,9 @@
                      bool is_leaving);
   void PublishRoles();
   void PublishConfiguration();
+  EmulatedNode::Surroundings SurroundingsOfNodes();
+  // Where callers' sessions go, which a test may choose.
+  std::vector<size_t> Candidates() const;
   std::unique_ptr<CallerPort> OpenPort(CallerChannel& channel,
                                        const std::string& database);
   EmulatedTarget& RandomTarget();
@@ -91,6 +105,9 @@
   std::unique_ptr<Codec> codec;
   std::map<GroupName, std::unique_ptr<EmulatedGroup>> groups;
   std::vector<std::unique_ptr<EmulatedNode>> nodes;
+  std::map<std::string, EmulatedNode*> node_by_address;
+  bool is_started = false;
+  EmulatedBalancer balancer;
   std::vector<std::unique_ptr<EmulatedCaller>> callers;
   std::map<TargetName, int64_t> starts;
   std::map<TargetName, bool> is_leaving;
--- a/Libraries/LibEmulator/emulated_world_test.cc
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -360,6 +360,110 @@
   }
 }
 
+TEST_CASE("proxies in five places, targets in three of them") {
+  EmulatedWorld::Options options = OptionsFor(5);
+  options.nodes = 100;
+  options.places = 5;
+  options.callers = 30;
+  options.has_balancer = true;
+  EmulatedWorld world(options);
+  world.Start();
+  world.RunFor(std::chrono::seconds(8));
+
+  SUBCASE("have their homes beside the targets") {
+    for (size_t index = 0; index < options.nodes; ++index) {
+      if (world.PlaceOf(index) >= 3)
+        CHECK(world.node(index).gateway()->home_count() == 0);
+    }
+  }
+
+  SUBCASE("do without a place that has no target") {
+    const auto start = world.TotalCounts();
+    world.RunFor(std::chrono::seconds(5));
+    const auto calm = world.TotalCounts();
+    world.CutPlace(4, std::chrono::milliseconds(5500));
+    // A fifth of the callers is at proxies that are cut off, which say that
+    // they are not ready after a second and are out of rotation two seconds
+    // later.
+    world.RunFor(std::chrono::milliseconds(3500));
+    const auto before = world.TotalCounts();
+    world.RunFor(std::chrono::milliseconds(2000));
+    const auto after = world.TotalCounts();
+    const auto calm_rate = (calm.succeeded - start.succeeded) / 5;
+    CHECK((after.succeeded - before.succeeded) * 10 > calm_rate * 2 * 9);
+    CHECK((after.refused - before.refused) * 50 < after.sent - before.sent);
+    for (size_t index = 0; index < options.nodes; ++index)
+      CHECK(world.node(index).gateway()->is_ready() ==
+            (world.PlaceOf(index) != 4));
+    world.RunFor(std::chrono::seconds(3));
+    for (size_t index = 0; index < options.nodes; ++index)
+      CHECK(world.node(index).gateway()->is_ready());
+    CHECK(world.group(0).promotions() + world.group(1).promotions() == 0);
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE("serve the groups whose primary is not in a place that is cut off") {
+    const size_t cut = world.group(0).leader().name().value.back() % 3;
+    world.CutPlace(cut, std::chrono::milliseconds(5500));
+    world.RunFor(std::chrono::milliseconds(9000));
+    const auto before = world.TotalCounts().writes_succeeded;
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.TotalCounts().writes_succeeded > before + 60);
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE("take in as many again that join at once") {
+    world.AddNodes(90);
+    world.RunFor(std::chrono::seconds(4));
+    const auto before = world.TotalCounts();
+    world.RunFor(std::chrono::seconds(4));
+    const auto after = world.TotalCounts();
+    CHECK((after.refused - before.refused) * 50 < after.sent - before.sent);
+    for (size_t index = 0; index < 190; ++index)
+      CHECK(world.node(index).gateway()->is_ready());
+    for (const auto& target : world.group(0).targets())
+      CHECK(target->refused_sessions() == 0);
+    CHECK(FirstViolation(world) == "");
+  }
+
+  SUBCASE("restart in turn while both primaries are released") {
+    world.ReleaseTarget(world.group(0).leader().name());
+    world.ReleaseTarget(world.group(1).leader().name());
+    for (size_t index = 0; index < options.nodes; ++index) {
+      world.StopNode(index, std::chrono::milliseconds(300));
+      world.RunFor(std::chrono::milliseconds(200));
+    }
+    world.RunFor(std::chrono::seconds(10));
+    CHECK(FirstViolation(world) == "");
+    const auto before = world.TotalCounts().writes_succeeded;
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.TotalCounts().writes_succeeded > before + 60);
+  }
+
+  SUBCASE("go on when a third of them is cut off from everything for long") {
+    for (size_t index = 0; index < options.nodes; index += 3) {
+      world.FailStore(index, EmulatedStoreAccess::Fault::kSilent,
+                      std::chrono::seconds(12));
+      for (size_t other = 0; other < options.nodes; ++other) {
+        if (other % 3 != 0)
+          world.CutNodes(index, other);
+      }
+      for (size_t group = 0; group < 2; ++group) {
+        for (const auto& target : world.group(group).targets())
+          world.CutNodeFromTarget(index, target->name());
+      }
+    }
+    world.RunFor(std::chrono::seconds(12));
+    world.HealAll();
+    world.RunFor(std::chrono::seconds(6));
+    const auto before = world.TotalCounts().writes_succeeded;
+    world.RunFor(std::chrono::seconds(3));
+    CHECK(world.TotalCounts().writes_succeeded > before + 60);
+    CHECK(world.group(0).promotions() + world.group(1).promotions() == 0);
+    CHECK(FirstViolation(world) == "");
+  }
+}
+
 TEST_CASE("no promise is broken under random faults") {
   for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10}) {
     CAPTURE(seed);
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -137,17 +137,17 @@
                    this->store,
                    this->view,
                    SelfRecord(this->options)),
+      watch(MemberWatch::Context{
+          surroundings.scheduler, this->store, this->view, surroundings.peers,
+          this->journal, this->options.peer_address, this->options.place,
+          kLeaseLength + kLeaseSlack,
+          [this] { return this->RegisteredGroups(); }}),
       failover(FailoverAgent::Context{
           surroundings.scheduler, this->store, this->view, surroundings.peers,
-          surroundings.authority, this->journal, this->options.vm,
+          this->watch, surroundings.authority, this->journal, this->options.vm,
           this->options.peer_address, this->options.incarnation,
           kLeaseLength + kLeaseSlack,
-          [this] {
-            std::vector<GroupName> names;
-            for (const GroupName& name : this->registration.registered_groups())
-              names.push_back(name);
-            return names;
-          },
+          [this] { return this->RegisteredGroups(); },
           [this](const GroupName& group) { return this->FindGroup(group); },
           [this](const GroupName& group) { return this->TargetsOf(group); },
           [this] {
@@ -357,10 +357,19 @@
   return this->SharesOf(group).LimitOfHome(this->roles.HomesOf(group).size());
 }
 
+std::vector<GroupName> Gateway::RegisteredGroups() const {
+  const std::set<GroupName> registered = this->registration.registered_groups();
+  return std::vector<GroupName>(registered.begin(), registered.end());
+}
+
 Duration Gateway::PrimarySilence(const GroupName& group) const {
   if (this->home_groups.contains(group))
     return this->dispatchers.at(group)->PrimarySilence();
-  return this->forwarding_groups.at(group)->PrimarySilence();
+  const ForwardingGroup& forwarding = *this->forwarding_groups.at(group);
+  if (forwarding.has_home_here())
+    return forwarding.PrimarySilence();
+  return std::max(forwarding.PrimarySilence(),
+                  this->watch.OtherPlacesSilence());
 }
 
 void Gateway::UpdateRoleGroups() {
@@ -434,6 +443,7 @@
   this->UpdateRoles();
   for (const GroupName& group : this->home_groups)
     this->dispatchers.at(group)->Tick();
+  this->watch.Tick();
   this->failover.Tick();
   this->copy_desk.Tick();
   this->UpdateSource();
@@ -671,7 +681,7 @@
       continue;
     ++sight.others;
     sight.heard_age =
-        std::min(sight.heard_age, now - this->failover.HeardAt(address));
+        std::min(sight.heard_age, now - this->watch.HeardAt(address));
   }
   const bool was_isolated = this->isolation.is_isolated();
   this->isolation.DidSee(sight, now);
@@ -682,7 +692,7 @@
   if (this->isolation.should_ask() &&
       now - this->asked_others_at >= kAskOthersInterval) {
     this->asked_others_at = now;
-    this->failover.AskOtherPlaces(this->options.place);
+    this->watch.AskOtherPlaces();
   }
   // Sessions at rest are better served by proxies that are not cut off, once
   // new sessions go there.
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -14,6 +14,7 @@
 #include "LibCoordination/coordination_view.h"
 #include "LibCoordination/failover_agent.h"
 #include "LibCoordination/member_registration.h"
+#include "LibCoordination/member_watch.h"
 #include "LibCore/life_guard.h"
 #include "LibCore/random_source.h"
 #include "LibCore/scheduler.h"
@@ -146,8 +147,10 @@
   std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
   ConnectionShares SharesOf(const GroupName& group) const;
   size_t LinkLimit(const GroupName& group) const;
+  std::vector<GroupName> RegisteredGroups() const;
   // How long a group's primary has been silent, by this proxy's own questions
-  // or by the word of the homes of its place.
+  // or by the word of the homes of its place; without such homes, how long
+  // other places have been silent.
   Duration PrimarySilence(const GroupName& group) const;
   void TickIsolation();
   // Closes at most `most` sessions that have nothing under way.
@@ -183,6 +186,7 @@
   CopyFollower copy_follower;
   ForwardDesk forward_desk;
   MemberRegistration registration;
+  MemberWatch watch;
   FailoverAgent failover;
   struct OpenCaller {
     GatewaySession* session = nullptr;
--- a/Libraries/LibRelay/forwarding_group.h
+++ b/Libraries/LibRelay/forwarding_group.h
@@ -54,6 +54,9 @@
   // how long all homes have been silent.
   Duration PrimarySilence() const;
 
+  // Whether a home is in this proxy's place.
+  bool has_home_here() const;
+
   size_t open_count() const { return this->work_by_number.size(); }
 
  private:
@@ -80,8 +83,6 @@
 
   Context context;
   std::map<WorkNumber, WorkPointer> work_by_number;
-  bool has_home_here() const;
-
   // The latest word of a home of this place, and when it came.
   Duration told_silence{};
   TimePoint told_at{};
