LibGateway: Choose homes once the targets are known, and write one row

Change: no role and no row before the targets have been read; a place counts for 60 s after its target was last seen, so that roles do not move for a crash; a row that was written is known by the store's answer. A proxy suspects that it is cut off after 300 ms of silence and closes its sessions at rest within some 400 ms.

--- a/Libraries/LibCoordination/member_registration.cc
+++ b/Libraries/LibCoordination/member_registration.cc
@@ -71,14 +71,28 @@
   TableChange change;
   // A write whose answer was lost may be performed after a later one; the
   // condition keeps it from undoing that one.
-  const uint64_t version =
-      row == this->view.members().end() ? 0 : row->second.version;
+  const uint64_t version = this->KnownVersion();
   change.expected.push_back({key, version});
   change.puts.push_back({key, CoordinationView::Encode(this->record)});
-  this->store.Change(CoordinationView::kTable, std::move(change),
-                     [](const ValueOrError<ChangeOutcome>&) {
-                       // The view shows whether it was applied.
-                     });
+  this->store.Change(
+      CoordinationView::kTable, std::move(change),
+      this->life.Wrap([this](const ValueOrError<ChangeOutcome>& outcome) {
+        // Without an answer the view shows whether it was applied.
+        const auto* answered = std::get_if<ChangeOutcome>(&outcome);
+        if (answered && answered->is_applied)
+          this->written_version =
+              std::max(this->written_version, answered->version);
+        // Somebody else changed the row.
+        if (answered && !answered->is_applied)
+          this->written_version = 0;
+      }));
+}
+
+uint64_t MemberRegistration::KnownVersion() const {
+  const auto row = this->view.members().find(this->record.address);
+  const uint64_t shown =
+      row == this->view.members().end() ? 0 : row->second.version;
+  return std::max(shown, this->written_version);
 }
 
 bool MemberRegistration::may_wait() const {
--- a/Libraries/LibCoordination/member_registration.h
+++ b/Libraries/LibCoordination/member_registration.h
@@ -1,6 +1,7 @@
 #ifndef LIBCOORDINATION_MEMBER_REGISTRATION_H_
 #define LIBCOORDINATION_MEMBER_REGISTRATION_H_
 
+#include <cstdint>
 #include <optional>
 #include <set>
 
@@ -40,6 +41,8 @@
   const MemberRecord& self() const { return this->record; }
 
  private:
+  // The newest version of the row that the view or the store's answer showed.
+  uint64_t KnownVersion() const;
   // Whether the row of an earlier start says the same but for the start.
   bool may_wait() const;
 
@@ -51,6 +54,8 @@
   std::optional<TimePoint> came_back_at;
   bool is_leaving = false;
   TimePoint written_at{};
+  // The version that the newest write which was answered made.
+  uint64_t written_version = 0;
   LifeGuard life;
 };
 
--- a/Libraries/LibCoordination/member_registration_test.cc
+++ b/Libraries/LibCoordination/member_registration_test.cc
@@ -21,11 +21,15 @@
  public:
   void Read(std::string_view, DidRead) override {}
   void Follow(std::string_view, uint64_t, Duration, DidRead) override {}
-  void Change(std::string_view, TableChange change, DidChange) override {
+  void Change(std::string_view,
+              TableChange change,
+              DidChange did_change) override {
     this->changes.push_back(std::move(change));
+    this->did_change = std::move(did_change);
   }
 
   std::vector<TableChange> changes;
+  DidChange did_change;
 };
 
 MemberRecord Self(const std::string& incarnation) {
@@ -103,6 +107,15 @@
     }
   }
 
+  SUBCASE("is changed before the view shows what was written") {
+    world.TickFor(milliseconds(100));
+    world.store.did_change(ChangeOutcome{true, 17});
+    world.registration.SetHomeOf({kOrders});
+    world.TickFor(milliseconds(100));
+    REQUIRE(world.store.changes.size() == 2);
+    CHECK(world.store.changes[1].expected[0].version == 17);
+  }
+
   SUBCASE("is written again when the answer does not come") {
     world.TickFor(milliseconds(1000));
     CHECK(world.store.changes.size() == 2);
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -46,9 +46,10 @@
 // Between two looks at what may have changed by time alone.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kBusyTickInterval = std::chrono::milliseconds(20);
-// A primary that has been silent for longer counts as out of reach when the
+// A primary, or all of the other places, that has been silent for longer counts
+// as out of reach when the
 // proxy asks itself whether it is cut off.
-constexpr Duration kIsolatedSilence = std::chrono::milliseconds(500);
+constexpr Duration kIsolatedSilence = std::chrono::milliseconds(300);
 constexpr Duration kAskOthersInterval = std::chrono::milliseconds(150);
 // Entries of targets that lapsed with the store are back by then.
 constexpr Duration kDirectoryCertainAfter = std::chrono::milliseconds(3000);
@@ -57,7 +58,7 @@
 constexpr Duration kIsolationNotice = std::chrono::milliseconds(2300);
 // Sessions at rest that a proxy which is cut off closes in one tick, so that
 // their owners do not all reconnect at once.
-constexpr size_t kSessionsClosedPerTick = 8;
+constexpr size_t kSessionsClosedPerTick = 20;
 // The last answers and the word to the store are on their way by then.
 constexpr Duration kLastWords = std::chrono::milliseconds(100);
 
@@ -385,7 +386,9 @@
 }
 
 void Gateway::UpdateRoles() {
-  if (!this->routes || !this->coordination.version())
+  // A row that is written before the roles are known has to be written twice.
+  if (!this->routes || !this->coordination.version() ||
+      !this->targets.version())
     return;
   std::set<GroupName> chosen =
       this->roles.Choose(this->role_groups, this->around.scheduler.Now());
--- a/Libraries/LibGateway/home_roles.cc
+++ b/Libraries/LibGateway/home_roles.cc
@@ -14,6 +14,8 @@
 constexpr Duration kSettleTime = std::chrono::milliseconds(500);
 // Transactions end within this, and other proxies have learnt of the new home.
 constexpr Duration kRoleLinger = std::chrono::seconds(10);
+// A target that crashed or is replaced is back in its place within this.
+constexpr Duration kPlaceMemory = std::chrono::seconds(60);
 
 // Returns the members beside the targets, or all when there are none: a home
 // elsewhere sends each statement across places twice, and a cut of its place
@@ -68,13 +70,17 @@
 
 std::set<GroupName> HomeRoles::Choose(std::span<const Group> current,
                                       TimePoint now) {
-  if (!this->is_settled(now))
-    return {};
-  if (!std::equal(current.begin(), current.end(), this->groups.begin(),
-                  this->groups.end())) {
-    this->groups.assign(current.begin(), current.end());
+  std::vector<Group> remembered = this->WithLatePlaces(current, now);
+  if (remembered != this->groups) {
+    this->groups = std::move(remembered);
     this->is_stale = true;
+    // Targets that start together register within some hundred milliseconds
+    // too.
+    if (!this->has_settled)
+      this->changed_at = now;
   }
+  if (!this->is_settled(now))
+    return {};
   if (std::exchange(this->is_stale, false))
     this->Recompute();
   for (const GroupName& group : this->chosen)
@@ -90,6 +96,23 @@
   return roles;
 }
 
+std::vector<HomeRoles::Group> HomeRoles::WithLatePlaces(
+    std::span<const Group> current,
+    TimePoint now) {
+  std::vector<Group> groups(current.begin(), current.end());
+  for (Group& group : groups) {
+    auto& seen_at = this->place_seen_at[group.name];
+    for (const PlaceName& place : group.places)
+      seen_at[place] = now;
+    std::erase_if(seen_at, [now](const auto& seen) {
+      return now - seen.second >= kPlaceMemory;
+    });
+    for (const auto& [place, at] : seen_at)
+      group.places.insert(place);
+  }
+  return groups;
+}
+
 void HomeRoles::Recompute() {
   this->chosen.clear();
   const auto self = std::find_if(
@@ -99,6 +122,10 @@
   if (self == this->members.end())
     return;
   for (const Group& group : this->groups) {
+    // Before its targets are known there is nothing to connect to, and the
+    // choice would be another one.
+    if (group.places.empty())
+      continue;
     if (group.shares.suffices_for_all(this->members.size())) {
       this->chosen.insert(group.name);
       continue;
--- a/Libraries/LibGateway/home_roles.h
+++ b/Libraries/LibGateway/home_roles.h
@@ -50,6 +50,10 @@
  private:
   bool is_settled(TimePoint now);
   void Recompute();
+  // Adds the places whose target has been away for a short time only, so that
+  // roles do not move for it.
+  std::vector<Group> WithLatePlaces(std::span<const Group> current,
+                                    TimePoint now);
 
   std::string self_address;
   std::vector<Member> members;
@@ -61,6 +65,8 @@
   bool has_read = false;
   TimePoint changed_at{};
   std::set<GroupName> chosen;
+  // When a target of a group was last seen in a place.
+  std::map<GroupName, std::map<PlaceName, TimePoint>> place_seen_at;
   // When a role was last due to this proxy.
   std::map<GroupName, TimePoint> due_at;
 };
--- a/Libraries/LibGateway/home_roles_test.cc
+++ b/Libraries/LibGateway/home_roles_test.cc
@@ -80,6 +80,35 @@
     }
   }
 
+  SUBCASE("are not chosen before the targets are known") {
+    HomeRoles roles(AddressOf(1));
+    roles.DidReadMembers(Members(7), start);
+    std::vector<HomeRoles::Group> groups = Groups(16);
+    groups[0].places.clear();
+    CHECK(roles.Choose(groups, start).empty());
+    CHECK(roles.Choose(Groups(16), start).size() == 1);
+  }
+
+  SUBCASE("stay in a place while its target is away for a short time") {
+    const auto members = Members(100);
+    std::vector<HomeRoles::Group> without = Groups(88);
+    without[0].places.erase(PlaceName{"place-2"});
+    int homes_there = 0;
+    for (const auto& [address, member] : members) {
+      HomeRoles roles(address);
+      roles.DidReadMembers(members, start);
+      const auto before = roles.Choose(Groups(88), start);
+      CHECK(roles.Choose(without, start + seconds(30)) == before);
+      if (member.place != PlaceName{"place-2"} || before.empty())
+        continue;
+      ++homes_there;
+      // The memory and then the time that a role is kept.
+      roles.Choose(without, start + seconds(61));
+      CHECK(roles.Choose(without, start + seconds(75)).empty());
+    }
+    CHECK(homes_there > 0);
+  }
+
   SUBCASE("are chosen once the members have settled") {
     HomeRoles roles(AddressOf(1));
     roles.DidReadMembers({}, start);
