LibCoordination: Do not replace a primary right after a cut of one's own

Found by the story of a third of a hundred proxies that is cut off for 12 s: when it healed, a home that had heard nobody for longer than kAloneAfter replaced a healthy primary within 20 ms, before any question to the others could be answered. Members that heard the primary said so too late: their dispatchers forgot when they had heard it as soon as the store's feed showed the mark.

Change: being alone counts only while the store has answered for three seconds without a failure; when a primary was last heard is kept while it is the same target in the same term.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -213,7 +213,10 @@
   const bool is_large_part = lost >= 2 && kLargePart * lost >= 2 * members;
   if (is_large_part && now - suspicion.since > kLargePartAfter)
     return true;
-  return now - suspicion.since > kAloneAfter;
+  // A proxy that was cut off itself has been silent for long when it is back,
+  // and has not heard the others yet.
+  return now - suspicion.since > kAloneAfter &&
+         this->context.is_directory_certain();
 }
 
 void FailoverAgent::AskHomes(const GroupName& group) {
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -693,12 +693,17 @@
 void GroupDispatcher::DidChangeLeases() {
   const PrimaryRecord* record = this->leases.Find(this->group);
   if (record && record->version != this->primary_version) {
-    // What was seen of the primary before it was marked or replaced says
-    // nothing of it now.
+    // Before the primary was marked or replaced, its silence and its refusals
+    // were answers to other questions. When it was heard last still counts
+    // while it is the same: it may be used again for that.
+    const bool is_same = this->primary_name == record->primary &&
+                         this->primary_term == record->term;
+    if (!is_same)
+      this->primary_answered_at = TimePoint{};
     this->primary_name = record->primary;
+    this->primary_term = record->term;
     this->primary_version = record->version;
     this->did_primary_deny = false;
-    this->primary_answered_at = TimePoint{};
     this->unanswered_since.reset();
   }
   // Ending one tells its caller, who may drop this and others.
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -181,6 +181,7 @@
   // When the oldest question to the primary was sent that has no answer.
   std::optional<TimePoint> unanswered_since;
   TargetName primary_name;
+  Term primary_term;
   uint64_t primary_version = 0;
   TimePoint probed_at{};
   bool did_primary_deny = false;
