--- a/Libraries/LibCoordination/member_watch.cc
+++ b/Libraries/LibCoordination/member_watch.cc
@@ -44,10 +44,10 @@
   if (this->round++ % kRoundsBetweenHomes == 0) {
     const std::vector<GroupName> groups = this->context.groups();
     for (const auto& [address, member] : this->context.view.members()) {
+      const std::set<GroupName>& home_of = member.home_of;
       const bool is_shared = std::any_of(
-          groups.begin(), groups.end(), [&](const GroupName& group) {
-            return member.home_of.contains(group);
-          });
+          groups.begin(), groups.end(),
+          [&](const GroupName& group) { return home_of.contains(group); });
       if (is_shared && !member.is_gone && address != this->context.self_address)
         asked.insert(address);
     }
--- a/Libraries/LibEmulator/emulated_world_test.cc
+++ b/Libraries/LibEmulator/emulated_world_test.cc
@@ -311,9 +311,9 @@
     // A row has some 200 bytes and changes three times in a restart: its end,
     // its start and its roles. Each change goes to 16 followers of a reader,
     // and who starts gets 100 rows whole.
-    const uint64_t rows = 34 * 3 * 200 * 16;
-    const uint64_t whole = 34 * 100 * 200;
-    const uint64_t frames = 20 * 16 * 250;
+    const uint64_t rows = uint64_t{34} * 3 * 200 * 16;
+    const uint64_t whole = uint64_t{34} * 100 * 200;
+    const uint64_t frames = uint64_t{20} * 16 * 250;
     CHECK(world.traffic().Most(copies).bytes < rows + whole + frames);
     CHECK(FirstViolation(world) == "");
   }
