--- a/Libraries/LibMembership/connection_shares_test.cc
+++ b/Libraries/LibMembership/connection_shares_test.cc
@@ -29,9 +29,10 @@
       RC_ASSERT(2 * lost <= static_cast<size_t>(maximum));
     }));
     // A small installation where every proxy is a home.
-    for (const int maximum : {16, 21, 30})
-      CHECK(2 * 7 * ConnectionShares(maximum).LimitOfHome(7) <=
-            static_cast<size_t>(maximum));
+    for (const int maximum : {16, 21, 30}) {
+      const size_t held = 7 * ConnectionShares(maximum).LimitOfHome(7);
+      CHECK(2 * held <= static_cast<size_t>(maximum));
+    }
   }
 }
 
--- a/Libraries/LibRelay/home_chooser_test.cc
+++ b/Libraries/LibRelay/home_chooser_test.cc
@@ -47,6 +47,7 @@
     // A proxy with twenty groups of ten homes elsewhere talks to one home of
     // each, not to all of them, after a start.
     std::vector<Home> elsewhere;
+    elsewhere.reserve(10);
     for (int number = 0; number < 10; ++number)
       elsewhere.push_back({"home-" + std::to_string(number), kThere});
     const auto first = chooser.Choose(elsewhere, {}, now);
