LibEmulator: Call a close a cut only where it cannot cross a statement

The callers of the soak are those of the emulator, and the check that came with the planned stops took every end of a session for a cut, also those of proxies that the soak kills and of connections that its relay resets. Over sockets a statement may also cross a close that was sent before it was read.

--- a/Libraries/LibEmulator/emulated_caller.cc
+++ b/Libraries/LibEmulator/emulated_caller.cc
@@ -33,6 +33,7 @@
                                std::string name,
                                std::string database,
                                CallerRoute route,
+                               Closes closes,
                                uint64_t seed)
     : scheduler(scheduler),
       checker(checker),
@@ -40,6 +41,7 @@
       name(std::move(name)),
       database(std::move(database)),
       route(std::move(route)),
+      closes(closes),
       random(seed) {}
 
 EmulatedCaller::~EmulatedCaller() {
@@ -223,7 +225,7 @@
 }
 
 void EmulatedCaller::Close() {
-  if (!this->outstanding.empty())
+  if (this->closes == Closes::kCut && !this->outstanding.empty())
     this->checker.DidCut(this->outstanding);
   this->scheduler.Post(this->life.Wrap([this] { this->Disconnect(); }));
 }
--- a/Libraries/LibEmulator/emulated_caller.h
+++ b/Libraries/LibEmulator/emulated_caller.h
@@ -28,12 +28,22 @@
     uint64_t in_doubt = 0;
     uint64_t writes_succeeded = 0;
   };
+  // What it means that a proxy closes a session without an answer to the last
+  // statement.
+  enum class Closes {
+    // The proxy had the statement: it was cut.
+    kCut,
+    // The proxy may have ended, or the statement may have crossed the close.
+    kTellNothing,
+  };
+
   EmulatedCaller(Scheduler& scheduler,
                  PromiseChecker& checker,
                  OpenCallerPort open_port,
                  std::string name,
                  std::string database,
                  CallerRoute route,
+                 Closes closes,
                  uint64_t seed);
   ~EmulatedCaller() override;
 
@@ -64,6 +74,7 @@
   std::string name;
   std::string database;
   CallerRoute route;
+  Closes closes;
   SeededRandom random;
   std::unique_ptr<CallerPort> port;
   uint64_t session_number = 0;
