--- a/Libraries/LibCoordination/coordination_view.cc
+++ b/Libraries/LibCoordination/coordination_view.cc
@@ -27,12 +27,16 @@
   json groups = json::array();
   for (const GroupName& group : member.home_of)
     groups.push_back(group.value);
-  return json{{"vm", member.vm.value},
-              {"place", member.place.value},
-              {"incarnation", member.incarnation},
-              {"gone", member.is_gone},
-              {"home_of", std::move(groups)}}
-      .dump();
+  json row{{"vm", member.vm.value},
+           {"place", member.place.value},
+           {"incarnation", member.incarnation},
+           {"gone", member.is_gone},
+           {"home_of", std::move(groups)}};
+  if (member.is_barred)
+    row["barred"] = true;
+  if (member.lease_length)
+    row["lease_ms"] = ToMilliseconds(*member.lease_length);
+  return row.dump();
 }
 
 std::string CoordinationView::Encode(const PrimaryRecord& primary) {
@@ -87,9 +91,8 @@
     is_changed = true;
   }
   if (is_changed)
-    std::erase_if(this->gone_at_by_address, [this](const auto& entry) {
-      const auto member = this->member_by_address.find(entry.first);
-      return member == this->member_by_address.end() || !member->second.is_gone;
+    std::erase_if(this->seen_by_address, [this](const auto& entry) {
+      return !this->member_by_address.contains(entry.first);
     });
   return is_changed;
 }
@@ -116,11 +119,20 @@
     member.place.value = value.at("place");
     member.incarnation = value.at("incarnation");
     member.is_gone = value.at("gone");
+    member.is_barred = value.value("barred", false);
+    if (const auto length = value.find("lease_ms"); length != value.end())
+      member.lease_length = std::chrono::milliseconds(length->get<int64_t>());
     for (const json& group : value.at("home_of"))
       member.home_of.insert(GroupName{group.get<std::string>()});
     member.version = row.version;
-    if (member.is_gone)
-      this->gone_at_by_address.emplace(member.address, now);
+    Seen& seen = this->seen_by_address[member.address];
+    seen.row_at = now;
+    if (seen.incarnation != member.incarnation ||
+        seen.home_of != member.home_of) {
+      seen.registration_at = now;
+      seen.incarnation = member.incarnation;
+      seen.home_of = member.home_of;
+    }
     this->member_by_address.emplace(member.address, std::move(member));
     return;
   }
@@ -150,12 +162,20 @@
   }
 }
 
-std::optional<TimePoint> CoordinationView::gone_seen_at(
+std::optional<TimePoint> CoordinationView::member_seen_at(
+    const std::string& address) const {
+  const auto found = this->seen_by_address.find(address);
+  if (found == this->seen_by_address.end())
+    return std::nullopt;
+  return found->second.row_at;
+}
+
+std::optional<TimePoint> CoordinationView::registration_seen_at(
     const std::string& address) const {
-  const auto found = this->gone_at_by_address.find(address);
-  if (found == this->gone_at_by_address.end())
+  const auto found = this->seen_by_address.find(address);
+  if (found == this->seen_by_address.end())
     return std::nullopt;
-  return found->second;
+  return found->second.registration_at;
 }
 
 }  // namespace kingcupmill
--- a/Libraries/LibCoordination/coordination_view.h
+++ b/Libraries/LibCoordination/coordination_view.h
@@ -28,11 +28,20 @@
   // Declared dead after it left queries unanswered for too long. Handovers do
   // not wait for it, and it must register again before it may use a primary.
   bool is_gone = false;
+  // Barred from leases after it left queries unanswered. It remains a home, and
+  // registers again as soon as it sees this.
+  bool is_barred = false;
+  // How long a read of the store entitles it to use a primary. Nothing in the
+  // rows of earlier versions, which cannot be barred either.
+  std::optional<Duration> lease_length;
   // The groups whose primaries it may use. It holds connections to their
   // targets and also serves requests that other proxies forward. A handover
   // waits only for the homes of its group.
   std::set<GroupName> home_of;
   uint64_t version = 0;
+
+  // Whether reads of the store grant it leases.
+  bool has_leases() const { return !this->is_gone && !this->is_barred; }
 };
 
 // The row of the coordinator, the only proxy that may order promotions.
@@ -76,8 +85,13 @@
   }
   // When this proxy first saw the newest version of the coordinator's row.
   TimePoint coordinator_seen_at() const { return this->coordinator_changed_at; }
-  // When this proxy first saw the member marked as gone; empty when it is not.
-  std::optional<TimePoint> gone_seen_at(const std::string& address) const;
+  // When this proxy first saw the newest version of a member's row; empty
+  // without a row.
+  std::optional<TimePoint> member_seen_at(const std::string& address) const;
+  // When this proxy first saw the member's process registered for the groups of
+  // its row; empty without a row.
+  std::optional<TimePoint> registration_seen_at(
+      const std::string& address) const;
 
  private:
   void DecodeRow(const StoreRow& row, TimePoint now);
@@ -86,7 +100,13 @@
   // The version of each decoded row, by key.
   std::map<std::string, uint64_t> version_by_key;
   std::map<std::string, MemberRecord> member_by_address;
-  std::map<std::string, TimePoint> gone_at_by_address;
+  struct Seen {
+    TimePoint row_at{};
+    TimePoint registration_at{};
+    std::string incarnation;
+    std::set<GroupName> home_of;
+  };
+  std::map<std::string, Seen> seen_by_address;
   std::vector<PrimaryRecord> primary_records;
   CoordinatorRecord coordinator_record;
   TimePoint coordinator_changed_at{};
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -24,6 +24,8 @@
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(400);
 // A member's health answer is used for this long.
 constexpr Duration kHealthAnswerLifetime = std::chrono::milliseconds(600);
+// A suspicion about which the homes were not asked for this long is dropped.
+constexpr Duration kSuspicionLifetime = std::chrono::milliseconds(1000);
 // Without a majority of the members, a proxy that reaches replicas and the
 // store replaces the primary only after this time, when most of the others are
 // more likely down than partitioned.
@@ -83,11 +85,15 @@
   const TimePoint now = this->context.scheduler.Now();
   const auto trigger = this->FindTrigger(*record, *dispatcher);
   if (!trigger) {
-    this->triggered_at.erase(group);
+    this->triggered.erase(group);
     return;
   }
-  const auto since = this->triggered_at.try_emplace(group, now).first->second;
-  if (now < since + this->Rank(group) * kRankDelay ||
+  // The order of the proxies applies anew when another one has tried: else all
+  // would start the next attempt together.
+  Triggered& first = this->triggered[group];
+  if (first.version != record->version)
+    first = Triggered{now, record->version};
+  if (now < first.at + this->Rank(group) * kRankDelay ||
       now < this->earliest_handover_at[group])
     return;
   if (!this->lease.is_held() && this->lease.is_held_by_other())
@@ -169,7 +175,7 @@
     return std::nullopt;
   }
   if (entry == targets.end() && this->context.is_directory_current())
-    return Trigger{Handover::Reason::kLost, Handover::Reopen::kForbidden};
+    return Trigger{Handover::Reason::kLost, Handover::Reopen::kAllowed};
   if (!dispatcher.has_recent_replica_answer() ||
       !this->is_loss_confirmed(record, dispatcher))
     return std::nullopt;
@@ -180,6 +186,10 @@
                                       GroupDispatcher& dispatcher) {
   const TimePoint now = this->context.scheduler.Now();
   Suspicion& suspicion = this->suspicions[record.group];
+  // While this proxy was not a home it asked nobody, so that the missing
+  // answers say nothing about the others.
+  if (now - suspicion.queried_at > kSuspicionLifetime)
+    suspicion = Suspicion{};
   if (suspicion.since == TimePoint{}) {
     suspicion.since = now;
     this->context.event_log.Write(
@@ -198,8 +208,14 @@
   size_t reached = 0;
   for (const std::string& address : others) {
     const auto answered_at = suspicion.answered_at.find(address);
-    if (answered_at == suspicion.answered_at.end() ||
-        now - answered_at->second > kHealthAnswerLifetime)
+    const TimePoint last_answer = answered_at == suspicion.answered_at.end()
+                                      ? suspicion.since
+                                      : answered_at->second;
+    if (now - last_answer > kHealthAnswerLifetime) {
+      this->context.watch.Bar(address);
+      continue;
+    }
+    if (answered_at == suspicion.answered_at.end())
       continue;
     const HealthAnswer& health = suspicion.answers.at(address);
     // A member that has not probed the primary yet counts for neither.
@@ -260,7 +276,7 @@
       dispatcher,
       this->context.self,
       this->context.self_address,
-      this->context.lease_wait,
+      this->context.lease_terms,
       this->context.release_own_lease,
       [this, group = record.group] {
         std::set<TargetName> names;
@@ -269,7 +285,9 @@
             names.insert(target.name);
         }
         return names;
-      }};
+      },
+      this->promised_until_time,
+      [this](const std::string& address) { this->context.watch.Bar(address); }};
   this->handovers.emplace(
       record.group, std::make_unique<Handover>(std::move(handover), record,
                                                trigger.reason, trigger.reopen));
@@ -285,9 +303,9 @@
     }
     did_finish = true;
     for (const std::string& address : entry->second->unresponsive_members())
-      this->context.watch.MarkGone(address);
+      this->context.watch.Bar(address);
     this->suspicions.erase(entry->first);
-    this->triggered_at.erase(entry->first);
+    this->triggered.erase(entry->first);
     this->earliest_handover_at[entry->first] = now + kHandoverPause;
     entry = this->handovers.erase(entry);
   }
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -1,6 +1,7 @@
 #ifndef LIBCOORDINATION_FAILOVER_AGENT_H_
 #define LIBCOORDINATION_FAILOVER_AGENT_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include "LibCore/scheduler.h"
 #include "LibDirectory/target_entry.h"
 #include "LibPeer/peer_links.h"
+#include "LibPrimary/lease_terms.h"
 
 namespace kingcupmill {
 
@@ -40,7 +42,7 @@
     VmName self;
     std::string self_address;
     std::string incarnation;
-    Duration lease_wait;
+    LeaseTerms lease_terms;
     // Returns the groups that this proxy is a registered home of.
     std::function<std::vector<GroupName>()> groups;
     std::function<GroupDispatcher*(const GroupName&)> find_group;
@@ -63,6 +65,18 @@
   // lasts.
   void Drain();
 
+  // Whether this proxy has started a handover of the group that is not over.
+  bool has_handover(const GroupName& group) const {
+    return this->handovers.contains(group);
+  }
+
+  // Records that this proxy has promised another one to start no handover until
+  // then. One that it starts all the same waits for that.
+  void DidPromise(TimePoint until) {
+    this->promised_until_time = std::max(this->promised_until_time, until);
+  }
+  TimePoint promised_until() const { return this->promised_until_time; }
+
   bool is_active() const { return !this->handovers.empty(); }
   const CoordinatorLease& coordinator_lease() const { return this->lease; }
 
@@ -101,10 +115,17 @@
   CoordinatorLease lease;
   std::map<GroupName, std::unique_ptr<Handover>> handovers;
   std::map<GroupName, Suspicion> suspicions;
-  std::map<GroupName, TimePoint> triggered_at;
+  // When a reason to replace a primary was first seen, and in which version of
+  // its record.
+  struct Triggered {
+    TimePoint at{};
+    uint64_t version = 0;
+  };
+  std::map<GroupName, Triggered> triggered;
   std::map<GroupName, TimePoint> leaving_since;
   std::map<GroupName, TimePoint> earliest_handover_at;
   std::map<GroupName, TimePoint> create_tried_at;
+  TimePoint promised_until_time{};
   bool is_draining = false;
   LifetimeGuard life;
 };
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibCoordination/silent_member.h"
 #include "LibDispatch/event_log.h"
 #include "LibDispatch/group_dispatcher.h"
 #include "LibLink/pooled_connection.h"
@@ -19,8 +20,10 @@
 constexpr Duration kCommandTimeout = std::chrono::milliseconds(400);
 // How long to wait for the old primary to confirm that it stepped down.
 constexpr Duration kStepDownTimeout = std::chrono::milliseconds(250);
-// How long to wait for a replica to receive all of the old primary's log.
+// How long to wait for a replica to receive all of the old primary's log, and
+// for it to receive any more of it.
 constexpr Duration kCatchUpTimeout = std::chrono::milliseconds(800);
+constexpr Duration kCatchUpProgressTimeout = std::chrono::milliseconds(200);
 // How long to wait for replicas that have not reported their status before one
 // is chosen without them.
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(250);
@@ -39,6 +42,14 @@
 // A store request without an answer is sent again after this. The expected
 // version keeps it from taking effect twice.
 constexpr Duration kStoreRetryInterval = std::chrono::milliseconds(1300);
+// Before a planned handover closes the primary, a member that has not answered
+// for this long is barred.
+constexpr Duration kPrepareSilence = std::chrono::milliseconds(400);
+// A planned handover closes the primary after this, however many members are
+// silent: the primary shuts down soon.
+constexpr Duration kPrepareTimeout = std::chrono::milliseconds(3000);
+// Waiting for members longer than this is logged.
+constexpr Duration kAwaitedLogDelay = std::chrono::milliseconds(500);
 // A planned handover that has waited longer than this for a member is put off,
 // and the old primary serves meanwhile.
 constexpr Duration kPlannedReopenDelay = std::chrono::milliseconds(900);
@@ -59,7 +70,8 @@
       reason(reason),
       reopen(reopen),
       step_entered_at(this->context.scheduler.Now()),
-      started_at(this->context.scheduler.Now()) {
+      started_at(this->context.scheduler.Now()),
+      promised_until(this->context.promised_until) {
   this->context.event_log.Write(
       EventLog::Kind::kStateChange,
       "event=handover_start group={} term={} primary={} planned={} state={} "
@@ -70,14 +82,44 @@
       ToMilliseconds(this->context.group.PrimarySilence()));
 }
 
+const char* Handover::NameOf(Step step) {
+  switch (step) {
+    case Step::kAcquireLease:
+      return "acquire_lease";
+    case Step::kPrepare:
+      return "prepare";
+    case Step::kClose:
+      return "close";
+    case Step::kWaitForMembers:
+      return "wait_for_members";
+    case Step::kStepDown:
+      return "step_down";
+    case Step::kChoose:
+      return "choose";
+    case Step::kRecordChoice:
+      return "record_choice";
+    case Step::kPromote:
+      return "promote";
+    case Step::kVerify:
+      return "verify";
+    case Step::kRecordPrimary:
+      return "record_primary";
+    case Step::kReopen:
+      return "reopen";
+    case Step::kDone:
+      return "done";
+  }
+  return "";
+}
+
 void Handover::Enter(Step next) {
   const TimePoint now = this->context.scheduler.Now();
   this->context.event_log.Write(
       EventLog::Kind::kStateChange,
       "event=handover_step group={} from_step={} to_step={} step_ms={} "
       "total_ms={} epoch={}",
-      this->old_record.group.value, static_cast<int>(this->step),
-      static_cast<int>(next), ToMilliseconds(this->TimeInStep()),
+      this->old_record.group.value, NameOf(this->step), NameOf(next),
+      ToMilliseconds(this->TimeInStep()),
       ToMilliseconds(now - this->started_at),
       this->context.coordinator_lease.epoch());
   this->step = next;
@@ -99,6 +141,14 @@
 }
 
 void Handover::Tick() {
+  Step before;
+  do {
+    before = this->step;
+    this->TickStep();
+  } while (this->step != before && this->step != Step::kDone);
+}
+
+void Handover::TickStep() {
   // Another proxy has replaced or reopened the primary.
   const PrimaryRecord* newest = this->NewestRecord();
   const bool is_reopened =
@@ -110,6 +160,13 @@
     return this->Enter(Step::kDone);
   if (this->step == Step::kDone)
     return;
+  // While the store could not be written, the primary has come back.
+  const bool has_closed = this->step > Step::kClose ||
+                          this->old_record.state == PrimaryState::kClosing ||
+                          this->is_request_pending;
+  if (!has_closed && this->reason == Reason::kLost &&
+      this->reopen == Reopen::kAllowed && this->is_primary_alive())
+    return this->Enter(Step::kDone);
   if (!this->context.coordinator_lease.is_held_for(kLeaseRenewalMargin))
     this->context.coordinator_lease.Acquire();
   if (this->step != Step::kAcquireLease &&
@@ -118,10 +175,12 @@
   switch (this->step) {
     case Step::kAcquireLease:
       if (this->context.coordinator_lease.is_held())
-        this->Enter(Step::kClose);
+        this->Enter(Step::kPrepare);
       else if (this->context.coordinator_lease.is_held_by_other())
         this->Enter(Step::kDone);
       return;
+    case Step::kPrepare:
+      return this->TickPrepare();
     case Step::kClose:
       return this->TickClose();
     case Step::kWaitForMembers:
@@ -144,6 +203,36 @@
   }
 }
 
+void Handover::TickPrepare() {
+  const TimePoint now = this->context.scheduler.Now();
+  const bool is_serving = this->old_record.state == PrimaryState::kServing;
+  if (this->reason != Reason::kPlanned || !is_serving ||
+      this->reopen == Reopen::kForbidden ||
+      this->TimeInStep() >= kPrepareTimeout)
+    return this->Enter(Step::kClose);
+  bool is_any_awaited = false;
+  for (const std::string& address : this->MembersNotStopped()) {
+    const auto answered = this->answered_at.find(address);
+    const TimePoint heard = answered == this->answered_at.end()
+                                ? this->step_entered_at
+                                : answered->second;
+    const bool has_answered = answered != this->answered_at.end() &&
+                              now - answered->second < kPrepareSilence;
+    if (has_answered || this->LeaseEndOf(address, now) <= now)
+      continue;
+    is_any_awaited = true;
+    if (now - heard >= kPrepareSilence)
+      this->context.bar_member(address);
+  }
+  if (!is_any_awaited)
+    return this->Enter(Step::kClose);
+  if (now - this->queried_at < kQueryInterval)
+    return;
+  this->queried_at = now;
+  for (const std::string& address : this->MembersNotStopped())
+    this->QueryHealth(address);
+}
+
 void Handover::TickClose() {
   const TimePoint now = this->context.scheduler.Now();
   const PrimaryRecord* newest = this->NewestRecord();
@@ -157,12 +246,19 @@
   if (this->is_request_pending &&
       now - this->request_sent_at < kStoreRetryInterval)
     return;
+  const auto self =
+      this->context.view.members().find(this->context.self_address);
+  if (self == this->context.view.members().end() || !self->second.has_leases())
+    return;
   PrimaryRecord closing = newest ? *newest : this->old_record;
   closing.state = PrimaryState::kClosing;
   closing.is_planned = this->reason == Reason::kPlanned;
   const std::string key = CoordinationView::PrimaryKey(closing.group);
   TableChange change;
   change.expected.push_back({key, closing.version});
+  change.expected.push_back(
+      {CoordinationView::MemberKey(this->context.self_address),
+       self->second.version});
   change.puts.push_back({key, CoordinationView::Encode(closing)});
   this->is_request_pending = true;
   this->request_sent_at = now;
@@ -193,15 +289,83 @@
   return addresses;
 }
 
+bool Handover::may_silent_extend(TimePoint closed_at) const {
+  const CoordinationView& view = this->context.view;
+  size_t homes = 0;
+  size_t silent = 0;
+  for (const auto& [address, member] : view.members()) {
+    if (!member.home_of.contains(this->old_record.group))
+      continue;
+    ++homes;
+    // Before the primary is closing, a member that answers is expected to stop.
+    const bool will_stop =
+        this->step == Step::kPrepare && this->answered_at.contains(address);
+    const bool has_stopped = address == this->context.self_address ||
+                             this->stopped_members.contains(address) ||
+                             will_stop;
+    // What an earlier process at its address promised is not known to it.
+    const bool is_new = view.registration_seen_at(address).value_or(closed_at) +
+                            this->context.lease_terms.maximum_length >
+                        closed_at;
+    if (!has_stopped || is_new)
+      ++silent;
+  }
+  return 2 * silent > homes;
+}
+
+TimePoint Handover::LeaseEndOf(const std::string& address,
+                               TimePoint closed_at) const {
+  const CoordinationView& view = this->context.view;
+  const MemberRecord& member = view.members().at(address);
+  SilentMember silent;
+  silent.lease_length =
+      member.lease_length.value_or(this->context.lease_terms.maximum_length);
+  silent.closed_at = closed_at;
+  if (!member.has_leases())
+    silent.excluded_at = view.member_seen_at(address);
+  silent.may_be_extended = this->may_silent_extend(closed_at);
+  return std::max(LatestLeaseEnd(silent, this->context.lease_terms),
+                  this->promised_until + this->context.lease_terms.slack);
+}
+
 bool Handover::have_all_stopped(TimePoint now) {
-  bool are_all_stopped = this->context.release_own_lease(this->old_record);
+  if (!this->context.release_own_lease(this->old_record))
+    return false;
+  const std::vector<std::string> awaited = this->MembersNotStopped();
+  return std::all_of(awaited.begin(), awaited.end(),
+                     [&](const std::string& address) {
+                       return now >= this->LeaseEndOf(address, this->closed_at);
+                     });
+}
+
+bool Handover::is_primary_alive() const {
+  const TimePoint now = this->context.scheduler.Now();
+  const bool has_answered =
+      this->context.group.PrimaryAnswerAge() < kRecentAnswerAge ||
+      now - this->primary_alive_at < kRecentAnswerAge;
+  // A target that is no longer listed as ready has to be replaced even if it
+  // answers; one that shuts down as planned can serve a little longer.
+  return has_answered &&
+         (this->reason == Reason::kPlanned ||
+          this->context.candidates().contains(this->old_record.primary));
+}
+
+void Handover::LogAwaitedMembers() {
+  const TimePoint now = this->context.scheduler.Now();
+  if (this->has_logged_awaited || now - this->closed_at < kAwaitedLogDelay)
+    return;
+  this->has_logged_awaited = true;
   for (const std::string& address : this->MembersNotStopped()) {
-    const auto gone_at = this->context.view.gone_seen_at(address);
-    if (gone_at && now >= *gone_at + this->context.lease_wait)
-      continue;
-    are_all_stopped = false;
+    const MemberRecord& member = this->context.view.members().at(address);
+    this->context.event_log.Write(
+        EventLog::Kind::kStateChange,
+        "event=member_awaited group={} member={} excluded={} "
+        "may_be_extended={} promised_for_ms={} lease_ends_in_ms={}",
+        this->old_record.group.value, address, !member.has_leases(),
+        this->may_silent_extend(this->closed_at),
+        std::max<int64_t>(0, ToMilliseconds(this->promised_until - now)),
+        ToMilliseconds(this->LeaseEndOf(address, this->closed_at) - now));
   }
-  return are_all_stopped;
 }
 
 void Handover::TickWaitForMembers() {
@@ -212,27 +376,23 @@
     const PrimaryRecord* newest = this->NewestRecord();
     return newest && newest->version >= this->old_record.version;
   }();
-  const bool is_alive =
-      this->context.group.PrimaryAnswerAge() < kRecentAnswerAge ||
-      now - this->primary_alive_at < kRecentAnswerAge;
   const bool should_reopen = this->reason == Reason::kPlanned
                                  ? now >= this->closed_at + kPlannedReopenDelay
                                  : now >= this->closed_at + kReopenDelay;
-  if (should_reopen && is_alive && this->reopen == Reopen::kAllowed) {
+  if (should_reopen && this->reopen == Reopen::kAllowed &&
+      this->is_primary_alive()) {
     this->next_record = this->old_record;
     this->next_record.state = PrimaryState::kServing;
     return this->Enter(Step::kReopen);
   }
-  if (is_view_recent && this->have_all_stopped(now))
-    return this->Enter(Step::kStepDown);
-  if (now >= this->closed_at + this->context.lease_wait) {
-    this->context.release_own_lease(this->old_record);
+  if (is_view_recent && this->have_all_stopped(now)) {
     for (const std::string& address : this->MembersNotStopped()) {
-      if (!this->context.view.gone_seen_at(address))
+      if (this->context.view.members().at(address).has_leases())
         this->unresponsive.insert(address);
     }
     return this->Enter(Step::kStepDown);
   }
+  this->LogAwaitedMembers();
   if (now - this->queried_at < kQueryInterval)
     return;
   this->queried_at = now;
@@ -240,6 +400,12 @@
 }
 
 void Handover::QueryMembers() {
+  // A member that has stopped still probes the primary, and may be the first to
+  // reach it again.
+  for (const std::string& address : this->stopped_members) {
+    if (this->reopen == Reopen::kAllowed)
+      this->QueryHealth(address);
+  }
   for (const std::string& address : this->MembersNotStopped()) {
     this->context.peers.Ask(
         address, ClosePrimaryQuery{this->old_record}, kQueryTimeout,
@@ -252,6 +418,9 @@
             return;
           if (!this->stopped_members.insert(address).second)
             return;
+          this->promised_until =
+              std::max(this->promised_until,
+                       this->context.scheduler.Now() + closed->promised_for);
           this->context.event_log.Write(
               EventLog::Kind::kStateChange,
               "event=member_stopped group={} member={} after_ms={}",
@@ -263,6 +432,23 @@
   }
 }
 
+void Handover::QueryHealth(const std::string& address) {
+  this->context.peers.Ask(
+      address, HealthQuery{this->old_record.group}, kQueryTimeout,
+      this->life.Wrap([this, address](std::optional<PeerAnswer> answer) {
+        const auto* health =
+            answer ? std::get_if<HealthAnswer>(&*answer) : nullptr;
+        if (!health)
+          return;
+        const TimePoint now = this->context.scheduler.Now();
+        this->answered_at[address] = now;
+        if (health->primary_answer_age < kRecentAnswerAge)
+          this->primary_alive_at = now;
+        if (this->step == Step::kPrepare)
+          this->Tick();
+      }));
+}
+
 void Handover::TickStepDown() {
   const auto connection =
       this->context.group.ControlConnection(this->old_record.primary);
@@ -372,13 +558,19 @@
       this->excluded_targets.clear();
     return;
   }
+  const LogPoint received = this->reports.at(*best).received;
+  if (received > this->best_received) {
+    this->best_received = received;
+    this->best_received_at = now;
+  }
   const bool has_caught_up =
-      this->final_point &&
-      this->reports.at(*best).received >= *this->final_point;
+      this->final_point && received >= *this->final_point;
+  const bool may_catch_up =
+      this->final_point && !has_caught_up &&
+      this->TimeInStep() < kCatchUpTimeout &&
+      now - this->best_received_at < kCatchUpProgressTimeout;
   const bool should_wait =
-      (!has_all_reports && this->TimeInStep() < kStatusTimeout) ||
-      (this->final_point && !has_caught_up &&
-       this->TimeInStep() < kCatchUpTimeout);
+      may_catch_up || (!has_all_reports && this->TimeInStep() < kStatusTimeout);
   if (should_wait)
     return;
   this->chosen_target = *best;
@@ -457,7 +649,7 @@
             EventLog::Kind::kStateChange,
             "event=promotion_answer group={} target={} outcome={}",
             this->old_record.group.value, this->chosen_target.value,
-            static_cast<int>(outcome));
+            ToString(outcome));
         if (this->step != Step::kPromote)
           return;
         if (outcome == PromotionOutcome::kAccepted)
--- a/Libraries/LibCoordination/handover.h
+++ b/Libraries/LibCoordination/handover.h
@@ -15,6 +15,7 @@
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibPeer/peer_links.h"
+#include "LibPrimary/lease_terms.h"
 #include "LibStatement/statement_answer.h"
 #include "LibTables/row_store.h"
 
@@ -25,16 +26,20 @@
 
 // Replaces the primary of one group:
 // 1. Acquire the lease of the coordinator: no other proxy orders promotions.
-// 2. Mark the primary as closing in the store, which stops new leases on it.
-// 3. Wait until every home has stopped using it or can have no lease any more.
-// 4. Step the old primary down if it answers, which ends its log.
-// 5. Choose the replica that has received most of the log. Where the end of the
+// 2. If the primary still serves, make sure that the rest will be short: every
+//    other home answers or can have no lease. A silent one is barred first.
+// 3. Mark the primary as closing in the store, which stops new leases on it.
+//    The write is accepted only while this proxy's own row is unchanged, so
+//    that a process that was excluded or replaced starts no handover.
+// 4. Wait until every home has stopped using it or can have no lease any more.
+// 5. Step the old primary down if it answers, which ends its log.
+// 6. Choose the replica that has received most of the log. Where the end of the
 //    old primary's log is known, wait for the replica to have received all.
-// 6. Record the chosen target in the store, so that a successor of this proxy
+// 7. Record the chosen target in the store, so that a successor of this proxy
 //    knows the only target that may have been promoted.
-// 7. Order the promotion.
-// 8. Wait until the chosen target is primary in a later term.
-// 9. Record it in the store as the serving primary.
+// 8. Order the promotion.
+// 9. Wait until the chosen target is primary in a later term.
+// 10. Record it in the store as the serving primary.
 class Handover {
  public:
   enum class Reason { kPlanned, kLost };
@@ -50,13 +55,17 @@
     GroupDispatcher& group;
     VmName self;
     std::string self_address;
-    // Length of a lease on a primary, plus a margin for late timers.
-    Duration lease_wait;
+    LeaseTerms lease_terms;
     // Releases this proxy's own lease on the primary. Returns false while open
     // requests still use the primary.
     std::function<bool(const PrimaryRecord&)> release_own_lease;
     // Returns the targets that may be promoted, which are the ready ones.
     std::function<std::set<TargetName>()> candidates;
+    // Until when a promise of this proxy to start no handover may extend the
+    // lease of another one.
+    TimePoint promised_until;
+    // Bars a member from leases.
+    std::function<void(const std::string&)> bar_member;
   };
 
   // Whether the handover may be undone.
@@ -85,6 +94,7 @@
  private:
   enum class Step {
     kAcquireLease,
+    kPrepare,
     kClose,
     kWaitForMembers,
     kStepDown,
@@ -97,7 +107,12 @@
     kDone,
   };
 
+  static const char* NameOf(Step step);
+
   void Enter(Step next);
+  // Does what the current step allows; may enter another step.
+  void TickStep();
+  void TickPrepare();
   void TickClose();
   void TickWaitForMembers();
   void TickStepDown();
@@ -106,11 +121,23 @@
   void TickPromote();
   void TickVerify();
   void TickRecordPrimary(const PrimaryRecord& wanted);
+  // Asks the members that have not stopped to do so, and the others whether the
+  // primary answers them.
   void QueryMembers();
+  void QueryHealth(const std::string& address);
   // Returns the other homes of the group that have not confirmed that they
   // stopped using the primary.
   std::vector<std::string> MembersNotStopped() const;
   bool have_all_stopped(TimePoint now);
+  // Returns when a member that does not answer certainly holds no lease, if the
+  // primary was closing at `closed_at`.
+  TimePoint LeaseEndOf(const std::string& address, TimePoint closed_at) const;
+  // Whether the homes that have not stopped may be most of those that one of
+  // them knows.
+  bool may_silent_extend(TimePoint closed_at) const;
+  // Whether the primary is in use again: it still leads and answers.
+  bool is_primary_alive() const;
+  void LogAwaitedMembers();
   void QueryStatus(const TargetName& target);
   void DidReceiveReport(const TargetName& target,
                         const StatementAnswer& answer);
@@ -131,12 +158,22 @@
   TimePoint request_sent_at{};
   TimePoint queried_at{};
   std::set<std::string> stopped_members;
+  // Until when a promise of this proxy or of a member that has stopped may
+  // extend the lease of a silent one.
+  TimePoint promised_until{};
+  // When each member last answered this handover.
+  std::map<std::string, TimePoint> answered_at;
+  bool has_logged_awaited = false;
   // When a member last reported that the primary answers it.
   TimePoint primary_alive_at{};
   std::set<std::string> unresponsive;
   std::map<TargetName, TargetReport> reports;
   std::set<TargetName> excluded_targets;
   std::optional<LogPoint> final_point;
+  // The most that a candidate has received of the old primary's log, and when
+  // that last grew.
+  LogPoint best_received;
+  TimePoint best_received_at{};
   bool did_send_step_down = false;
   TargetName chosen_target;
   // The promotion of another target was ordered before, so that one may briefly
--- a/Libraries/LibCoordination/member_registration.cc
+++ b/Libraries/LibCoordination/member_registration.cc
@@ -28,7 +28,7 @@
 
 bool MemberRegistration::is_registered() const {
   const auto row = this->view.members().find(this->record.address);
-  return row != this->view.members().end() && !row->second.is_gone &&
+  return row != this->view.members().end() && row->second.has_leases() &&
          row->second.incarnation == this->record.incarnation;
 }
 
@@ -105,7 +105,7 @@
          row->second.home_of.empty();
 }
 
-void MemberRegistration::Deregister() {
+void MemberRegistration::Deregister(Row row_change) {
   this->is_deregistered = true;
   const auto row = this->view.members().find(this->record.address);
   if (row == this->view.members().end() || !this->is_registered())
@@ -113,7 +113,13 @@
   TableChange change;
   const std::string key = CoordinationView::MemberKey(this->record.address);
   change.expected.push_back({key, row->second.version});
-  change.removals.push_back(key);
+  if (row_change == Row::kRemove) {
+    change.removals.push_back(key);
+  } else {
+    MemberRecord gone = row->second;
+    gone.is_gone = true;
+    change.puts.push_back({key, CoordinationView::Encode(gone)});
+  }
   this->store.Change(CoordinationView::kTable, std::move(change),
                      [](const ValueOrError<ChangeOutcome>&) {
                        // If the row remains, the group's next handover waits
--- a/Libraries/LibCoordination/member_registration.h
+++ b/Libraries/LibCoordination/member_registration.h
@@ -29,8 +29,10 @@
   // at short intervals once the table has been read.
   void Tick();
 
-  // Removes the row for good. The caller must have stopped using all primaries.
-  void Deregister();
+  enum class Row { kRemove, kMarkAsGone };
+  // Ends the registration for good. The caller must have stopped using all
+  // primaries. A row that is marked as gone is removed later by others.
+  void Deregister(Row change);
 
   // Returns whether the view has a live row with this process's incarnation.
   bool is_registered() const;
--- a/Libraries/LibCoordination/member_registration_test.cc
+++ b/Libraries/LibCoordination/member_registration_test.cc
@@ -99,7 +99,7 @@
     }
 
     SUBCASE("and is removed for good when the proxy deregisters") {
-      fixture.registration.Deregister();
+      fixture.registration.Deregister(MemberRegistration::Row::kRemove);
       REQUIRE(fixture.store.changes.size() == 2);
       CHECK(fixture.store.changes[1].removals.size() == 1);
       fixture.view.Update({}, fixture.scheduler.Now());
--- a/Libraries/LibCoordination/member_watch.cc
+++ b/Libraries/LibCoordination/member_watch.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "LibDispatch/event_log.h"
@@ -16,8 +15,14 @@
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(400);
 // A member counts as alive for this long after its last answer.
 constexpr Duration kRecentAnswerAge = std::chrono::seconds(4);
+// A member that has not answered for this long, which is two queries, is barred
+// from leases.
+constexpr Duration kBarredAfter = std::chrono::milliseconds(2200);
 // A member that has not answered for this long is marked as gone.
 constexpr Duration kGoneAfter = std::chrono::seconds(12);
+// A coordinator waits for the leases of a member whose row it sees, so the row
+// stays until the longest lease of any version has expired.
+constexpr Duration kRowRetention = std::chrono::seconds(16);
 // Each proxy is watched by this many others, so a failed proxy goes unnoticed
 // only if all of these fail at the same time.
 constexpr size_t kWatchedMembers = 3;
@@ -38,7 +43,7 @@
     return;
   this->queried_at = now;
   const std::vector<std::string> watched = this->Watched();
-  this->MarkSilentAsGone(watched);
+  this->ExcludeSilent(watched);
   std::set<std::string> queried(watched.begin(), watched.end());
   // Homes of the same groups are queried too, but less often: only live homes
   // are ranked for a handover.
@@ -105,6 +110,7 @@
 
 void MemberWatch::DidReceiveAnswer(const std::string& address) {
   this->last_answer_at[address] = this->context.scheduler.Now();
+  this->barred.erase(address);
   if (this->is_in_other_place(address))
     this->other_places_silent_since.reset();
 }
@@ -149,7 +155,7 @@
   return watched;
 }
 
-void MemberWatch::MarkSilentAsGone(std::span<const std::string> watched) {
+void MemberWatch::ExcludeSilent(std::span<const std::string> watched) {
   const TimePoint now = this->context.scheduler.Now();
   // If none of them answers, this proxy itself is likely isolated.
   const bool has_any_answer = std::any_of(
@@ -161,11 +167,27 @@
         this->last_answer_at.try_emplace(address, now).first->second;
     if (has_any_answer && now - last_answer > kGoneAfter)
       this->MarkGone(address);
+    else if (has_any_answer && now - last_answer > kBarredAfter)
+      this->Bar(address);
   }
   if (has_any_answer)
     this->RemoveGoneRows();
 }
 
+void MemberWatch::Bar(const std::string& address) {
+  const auto& members = this->context.view.members();
+  const auto member = members.find(address);
+  if (member == members.end() || !member->second.has_leases() ||
+      !member->second.lease_length || member->second.home_of.empty() ||
+      !this->context.can_exclude() || !this->barred.insert(address).second)
+    return;
+  this->context.event_log.Write(EventLog::Kind::kStateChange,
+                                "event=member_barred member={}", address);
+  MemberRecord barred = member->second;
+  barred.is_barred = true;
+  this->WriteRow(barred);
+}
+
 void MemberWatch::MarkGone(const std::string& address) {
   const auto& members = this->context.view.members();
   const auto member = members.find(address);
@@ -175,10 +197,14 @@
                                 "event=member_gone member={}", address);
   MemberRecord gone = member->second;
   gone.is_gone = true;
-  const std::string key = CoordinationView::MemberKey(address);
+  this->WriteRow(gone);
+}
+
+void MemberWatch::WriteRow(const MemberRecord& member) {
+  const std::string key = CoordinationView::MemberKey(member.address);
   TableChange change;
-  change.expected.push_back({key, member->second.version});
-  change.puts.push_back({key, CoordinationView::Encode(gone)});
+  change.expected.push_back({key, member.version});
+  change.puts.push_back({key, CoordinationView::Encode(member)});
   this->context.store.Change(CoordinationView::kTable, std::move(change),
                              [](const ValueOrError<ChangeOutcome>&) {
                                // Retried while the member stays silent.
@@ -188,8 +214,8 @@
 void MemberWatch::RemoveGoneRows() {
   const TimePoint now = this->context.scheduler.Now();
   for (const auto& [address, member] : this->context.view.members()) {
-    const auto gone_at = this->context.view.gone_seen_at(address);
-    if (!gone_at || now < *gone_at + 2 * this->context.lease_wait)
+    const auto gone_at = this->context.view.member_seen_at(address);
+    if (!member.is_gone || !gone_at || now < *gone_at + kRowRetention)
       continue;
     // Only the last member before it on the ring removes the row.
     const std::vector<std::string> successors = this->SuccessorsOf(address);
--- a/Libraries/LibCoordination/member_watch.h
+++ b/Libraries/LibCoordination/member_watch.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -21,10 +22,10 @@
 class EventLog;
 
 // Detects failed proxies by querying a few other members. A member that does
-// not answer for long is marked as gone, so that handovers do not wait for it,
-// and its row is removed later. Apart from the homes of shared groups, the
-// number of members that one proxy queries does not grow with the number of
-// proxies.
+// not answer is soon barred from leases, so that handovers need not wait for
+// it, and after a longer time marked as gone; its row is removed later. Apart
+// from the homes of shared groups, the number of members that one proxy queries
+// does not grow with the number of proxies.
 class MemberWatch {
  public:
   struct Context {
@@ -35,11 +36,12 @@
     EventLog& event_log;
     std::string self_address;
     PlaceName place;
-    // Length of a lease on a primary, plus a margin for late timers.
-    Duration lease_wait;
     // Returns the groups that this proxy is a home of. The other homes of these
     // groups are queried too.
     std::function<std::vector<GroupName>()> groups;
+    // Returns whether this proxy has been able to read the store for a while,
+    // so that the silence of others is not its own isolation.
+    std::function<bool()> can_exclude;
   };
 
   explicit MemberWatch(Context context);
@@ -65,10 +67,16 @@
   // counted from the first query after the last answer of any of them.
   Duration OtherPlacesSilence() const;
 
-  // Marks a member as gone in the store.
-  void MarkGone(const std::string& address);
+  // Bars a silent home from leases in the store, once until it answers again.
+  // If it is alive and can read the store, it registers again when it sees
+  // that. Has no effect on members that cannot be barred.
+  void Bar(const std::string& address);
 
  private:
+  // Marks a member as gone in the store.
+  void MarkGone(const std::string& address);
+  // Writes the row of a member, unless it has changed meanwhile.
+  void WriteRow(const MemberRecord& member);
   void Query(const std::string& address);
   void QueryOtherPlaces(size_t limit);
   // Returns the members that are not gone, ordered on a hash ring and starting
@@ -76,8 +84,9 @@
   std::vector<std::string> SuccessorsOf(const std::string& address) const;
   // Returns the members that this proxy watches, its successors on the ring.
   std::vector<std::string> Watched() const;
-  // Marks those of `watched` as gone that have been silent for too long.
-  void MarkSilentAsGone(std::span<const std::string> watched);
+  // Bars those of `watched` that have been silent for a while, and marks those
+  // as gone that have been for too long.
+  void ExcludeSilent(std::span<const std::string> watched);
   // Removes the rows of members that have been gone for so long that no
   // handover waits for them.
   void RemoveGoneRows();
@@ -85,6 +94,8 @@
 
   Context context;
   std::map<std::string, TimePoint> last_answer_at;
+  // The members that were barred since their last answer.
+  std::set<std::string> barred;
   // When the first query to another availability zone since the last answer
   // from one was sent.
   std::optional<TimePoint> other_places_silent_since;
--- a/Libraries/LibCoordination/promotion_authority.h
+++ b/Libraries/LibCoordination/promotion_authority.h
@@ -19,6 +19,19 @@
   kUnknown,
 };
 
+// Returns the name of an outcome in log lines.
+inline const char* ToString(PromotionOutcome outcome) {
+  switch (outcome) {
+    case PromotionOutcome::kAccepted:
+      return "accepted";
+    case PromotionOutcome::kNotRunning:
+      return "not_running";
+    case PromotionOutcome::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
 // Promotes targets on behalf of the proxies, and is the only way to replace a
 // primary. Implemented by the platform's client.
 class PromotionAuthority {
--- a/Libraries/LibDispatch/event_log.cc
+++ b/Libraries/LibDispatch/event_log.cc
@@ -11,15 +11,16 @@
 // Lines per second and burst size of each kind. Routed statements are sampled
 // so that logging costs less than 1 % of a small VM's core.
 struct RateLimit {
+  const char* name;
   double per_second;
   double burst;
   spdlog::level::level_enum level;
 };
 constexpr std::array<RateLimit, 4> kRateLimits = {{
-    {20, 40, spdlog::level::info},
-    {50, 100, spdlog::level::info},
-    {100, 200, spdlog::level::warn},
-    {50, 200, spdlog::level::info},
+    {"routed", 20, 40, spdlog::level::info},
+    {"refused", 50, 100, spdlog::level::info},
+    {"failed", 100, 200, spdlog::level::warn},
+    {"state_change", 50, 200, spdlog::level::info},
 }};
 
 }  // namespace
@@ -50,11 +51,11 @@
 
 void EventLog::WriteLine(Kind kind, std::string_view line) {
   TokenBucket& bucket = this->buckets.at(static_cast<size_t>(kind));
-  const spdlog::level::level_enum level =
-      kRateLimits.at(static_cast<size_t>(kind)).level;
+  const auto& [name, per_second, burst, level] =
+      kRateLimits.at(static_cast<size_t>(kind));
   if (bucket.dropped > 0) {
-    spdlog::log(level, "event=lines_dropped kind={} count={}",
-                static_cast<int>(kind), std::exchange(bucket.dropped, 0));
+    spdlog::log(level, "event=lines_dropped kind={} count={}", name,
+                std::exchange(bucket.dropped, 0));
   }
   spdlog::log(level, "{}", line);
 }
--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -119,6 +119,77 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  SUBCASE("keeps serving during a store outage though a proxy was lost") {
+    cluster.RunFor(std::chrono::seconds(2));
+    cluster.KillNode(4, std::chrono::seconds(60));
+    for (size_t index = 0; index < 5; ++index)
+      cluster.FailStore(index, EmulatedStoreAccess::Fault::kSilent,
+                        std::chrono::seconds(6));
+    cluster.RunFor(std::chrono::seconds(4));
+    const auto before = cluster.TotalCounts().writes_succeeded;
+    cluster.RunFor(std::chrono::seconds(2));
+    CHECK(cluster.TotalCounts().writes_succeeded > before + 20);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  // The isolated place holds the primary and two proxies that cannot confirm
+  // that they have stopped using it.
+  SUBCASE("replaces a primary in an isolated place within four seconds") {
+    // By then the proxies are known not to have registered anew.
+    cluster.RunFor(std::chrono::seconds(6));
+    const TargetName lost = cluster.group(0).leader().name();
+    cluster.PartitionPlace(lost.value.back() % 3, std::chrono::seconds(6));
+    cluster.RunFor(std::chrono::seconds(4));
+    CHECK(cluster.group(0).leader().name() != lost);
+    CHECK(FirstViolation(cluster) == "");
+    cluster.RunFor(std::chrono::seconds(6));
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  // The planned handover used to close the primary, wait for the lease of the
+  // lost proxy and reopen it, again and again.
+  SUBCASE("hands over as planned next to a lost proxy with one short gap") {
+    // By then the proxies are known not to have registered anew.
+    cluster.RunFor(std::chrono::seconds(6));
+    const TargetName leaving = cluster.group(0).leader().name();
+    cluster.KillNode(4, std::chrono::seconds(60));
+    cluster.RunFor(std::chrono::milliseconds(300));
+    cluster.ReleaseTarget(leaving);
+    Duration closed{};
+    for (int step = 0; step < 600; ++step) {
+      cluster.RunFor(std::chrono::milliseconds(10));
+      const PrimaryRecord* record =
+          cluster.node(0).gateway()->primary_leases().Find(
+              cluster.group(0).name());
+      if (record->state == PrimaryState::kClosing)
+        closed += std::chrono::milliseconds(10);
+    }
+    CHECK(cluster.group(0).leader().name() != leaving);
+    // The promotion takes 300 ms here, and open transactions get 300 ms.
+    CHECK(closed < std::chrono::milliseconds(300 + 300 + 200));
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  // A proxy was removed for good just before its group's primary was split off
+  // with a part of the proxies. The handover used to wait for the removed one
+  // though the primary had come back.
+  SUBCASE("reopens a primary that comes back while a lost proxy is awaited") {
+    cluster.RunFor(std::chrono::seconds(2));
+    const TargetName primary = cluster.group(0).leader().name();
+    cluster.KillNode(4, std::chrono::seconds(60));
+    cluster.PartitionPrimary(0, std::chrono::seconds(2));
+    cluster.RunFor(std::chrono::milliseconds(3500));
+    const PrimaryRecord* record =
+        cluster.node(3).gateway()->primary_leases().Find(
+            cluster.group(0).name());
+    CHECK(record->primary == primary);
+    CHECK(record->state == PrimaryState::kServing);
+    const auto before = cluster.TotalCounts().writes_succeeded;
+    cluster.RunFor(std::chrono::seconds(1));
+    CHECK(cluster.TotalCounts().writes_succeeded > before + 10);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE(
       "finishes a handover though the store rejects the coordinator's calls") {
     cluster.RunFor(std::chrono::seconds(2));
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -159,7 +159,9 @@
           if (!std::exchange(*is_answered, true))
             did_answer(answer);
         });
-    this->scheduler.PostAfter(timeout, [finish] { finish(std::nullopt); });
+    this->scheduler.PostAfter(
+        timeout,
+        [finish, none = std::optional<PeerAnswer>()] { finish(none); });
     std::vector<uint8_t> bytes = EncodeQuery(1, query);
     this->node.dependencies.traffic.DidSendQuery(this->node.node_address,
                                                  query.index(), bytes.size());
--- a/Libraries/LibEmulator/emulated_store.cc
+++ b/Libraries/LibEmulator/emulated_store.cc
@@ -24,6 +24,7 @@
 TableRows EmulatedStore::Snapshot(const std::string& table) const {
   TableRows read;
   read.version = this->version;
+  read.store_time = this->scheduler.Now().time_since_epoch();
   const auto found = this->tables.find(table);
   if (found == this->tables.end())
     return read;
@@ -36,6 +37,7 @@
                                       uint64_t since) const {
   TableRows read;
   read.version = this->version;
+  read.store_time = this->scheduler.Now().time_since_epoch();
   const auto first =
       std::upper_bound(this->changes.begin(), this->changes.end(), since,
                        [](uint64_t bound, const Change& change) {
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -15,15 +15,28 @@
 
 namespace {
 
-// How long a read of the store entitles this proxy to use a primary. Longer
-// leases bridge longer outages of the store; shorter ones shorten the wait for
-// a proxy that does not answer during a failover.
-constexpr Duration kLeaseLength = std::chrono::milliseconds(7500);
-// Added to the wait for leases to expire, to allow for timers that fire late.
-constexpr Duration kLeaseSlack = std::chrono::milliseconds(300);
-// Each completed long poll renews the leases, so its wait must be a fraction of
-// their length.
-constexpr Duration kLongPollInterval = std::chrono::milliseconds(1800);
+// Long enough for two long polls. A handover waits that long for a proxy that
+// does not answer.
+constexpr LeaseTerms kLeaseTerms = {
+    .length = std::chrono::milliseconds(2000),
+    .maximum_length = std::chrono::milliseconds(7500),
+    .slack = std::chrono::milliseconds(300)};
+// Each completed long poll of the coordination table renews the leases, so its
+// wait must be well below their length.
+constexpr Duration kLeasePollInterval = std::chrono::milliseconds(1200);
+constexpr Duration kLongPollInterval = std::chrono::milliseconds(2400);
+// When the newest read of the coordination table is older, which is more than a
+// long poll takes, the leases are extended by promises of the other homes.
+constexpr Duration kPromiseAfter = std::chrono::milliseconds(1400);
+// Links to other proxies that broke together with the one to the store work
+// again by then.
+constexpr Duration kSettledStoreAfter = std::chrono::milliseconds(3000);
+constexpr Duration kPromiseTimeout = std::chrono::milliseconds(400);
+// How long a promise to start no handover lasts. A proxy that can read the
+// store may soon have to start one; one that cannot, can start none before it
+// can.
+constexpr Duration kPromiseLength = std::chrono::milliseconds(1500);
+constexpr Duration kPromiseLengthWithoutStore = std::chrono::milliseconds(5000);
 // When the store has not answered for this long, which is more than a long poll
 // takes, copies of its tables are requested from another proxy.
 constexpr Duration kStoreStalenessLimit = std::chrono::milliseconds(2500);
@@ -68,10 +81,11 @@
 // exits.
 constexpr Duration kShutdownFlushDelay = std::chrono::milliseconds(100);
 
-TableCache::Options CacheOptions(std::string table) {
+TableCache::Options CacheOptions(std::string table,
+                                 Duration interval = kLongPollInterval) {
   TableCache::Options options;
   options.table = std::move(table);
-  options.interval = kLongPollInterval;
+  options.interval = interval;
   return options;
 }
 
@@ -81,6 +95,7 @@
   self.vm = options.vm;
   self.place = options.place;
   self.incarnation = options.incarnation;
+  self.lease_length = kLeaseTerms.length;
   return self;
 }
 
@@ -106,9 +121,10 @@
               [this] { this->DidReadTargets(); }),
       coordination(dependencies.scheduler,
                    dependencies.store,
-                   CacheOptions(std::string(CoordinationView::kTable)),
+                   CacheOptions(std::string(CoordinationView::kTable),
+                                kLeasePollInterval),
                    [this] { this->DidReadCoordination(); }),
-      leases(kLeaseLength),
+      leases(kLeaseTerms.length, kLeaseTerms.maximum_length),
       home_assignment(this->options.peer_address),
       home_chooser(this->options.place, this->options.random_seed + 3),
       relay_dialer(
@@ -150,13 +166,18 @@
       watch(MemberWatch::Context{
           dependencies.scheduler, this->store, this->view, dependencies.peers,
           this->event_log, this->options.peer_address, this->options.place,
-          kLeaseLength + kLeaseSlack,
-          [this] { return this->RegisteredGroups(); }}),
+          [this] { return this->RegisteredGroups(); },
+          [this] {
+            const auto since = this->coordination.available_since();
+            return this->can_read_store() && since &&
+                   this->dependencies.scheduler.Now() - *since >
+                       kSettledStoreAfter;
+          }}),
       failover(FailoverAgent::Context{
           dependencies.scheduler, this->store, this->view, dependencies.peers,
           this->watch, dependencies.authority, this->event_log,
           this->options.vm, this->options.peer_address,
-          this->options.incarnation, kLeaseLength + kLeaseSlack,
+          this->options.incarnation, kLeaseTerms,
           [this] { return this->RegisteredGroups(); },
           [this](const GroupName& group) {
             return this->FindDispatcher(group);
@@ -413,8 +434,13 @@
       this->registration.Tick();
     return;
   }
-  std::set<GroupName> chosen = this->home_assignment.Choose(
-      this->assignment_groups, this->dependencies.scheduler.Now());
+  const TimePoint now = this->dependencies.scheduler.Now();
+  std::set<GroupName> chosen =
+      this->home_assignment.Choose(this->assignment_groups, now);
+  // A coordinator must hear of this proxy's promises while they last, so the
+  // proxy remains a home.
+  if (now < this->failover.promised_until())
+    chosen.insert(this->home_groups.begin(), this->home_groups.end());
   for (const GroupName& group : this->home_groups) {
     if (chosen.contains(group))
       continue;
@@ -477,6 +503,7 @@
   this->copy_server.Tick();
   this->UpdateTableSources();
   this->RequestCopies();
+  this->RequestPromises();
   this->TickIsolation();
   this->TickDrain();
   this->dependencies.scheduler.PostAfter(
@@ -562,6 +589,76 @@
       }));
 }
 
+bool Gateway::can_read_store() const {
+  return this->dependencies.scheduler.Now() - this->coordination.read_at() <
+         kPromiseAfter;
+}
+
+void Gateway::RequestPromises() {
+  const TimePoint now = this->dependencies.scheduler.Now();
+  if (this->can_read_store())
+    return;
+  const std::set<GroupName> groups = this->registration.registered_groups();
+  std::vector<std::string> others;
+  for (const auto& [address, member] : this->view.members()) {
+    const bool shares_group = std::any_of(
+        groups.begin(), groups.end(),
+        [&](const GroupName& group) { return member.home_of.contains(group); });
+    if (address != this->options.peer_address && member.has_leases() &&
+        shares_group)
+      others.push_back(address);
+  }
+  for (const std::string& address : this->promises.TakeDue(others, now)) {
+    this->dependencies.peers.Ask(
+        address, PromiseQuery{}, kPromiseTimeout,
+        this->life.Wrap([this, address, now](std::optional<PeerAnswer> answer) {
+          if (!answer)
+            return;
+          if (const auto* promise = std::get_if<PromiseAnswer>(&*answer))
+            this->DidReceivePromise(address, *promise, now);
+        }));
+  }
+}
+
+void Gateway::DidReceivePromise(const std::string& address,
+                                const PromiseAnswer& answer,
+                                TimePoint asked_at) {
+  const TimePoint now = this->dependencies.scheduler.Now();
+  this->promises.DidReceive(address, answer, asked_at);
+  for (const GroupName& group : this->registration.registered_groups()) {
+    const PrimaryRecord* record = this->leases.Find(group);
+    if (!record || this->failover.has_handover(group))
+      continue;
+    const auto until = this->promises.PromisedUntil(group, record->version,
+                                                    this->view.members(),
+                                                    this->options.peer_address);
+    if (!until)
+      continue;
+    const bool was_leased = this->leases.LeasedPrimary(group, now).has_value();
+    this->leases.Extend(group, record->version, *until);
+    GroupDispatcher* dispatcher = this->FindDispatcher(group);
+    if (!was_leased && dispatcher)
+      dispatcher->DidChangeLeases();
+  }
+}
+
+PromiseAnswer Gateway::MakePromise() {
+  PromiseAnswer answer;
+  if (!this->registration.is_registered() || this->draining_since)
+    return answer;
+  const TimePoint now = this->dependencies.scheduler.Now();
+  answer.incarnation = this->options.incarnation;
+  answer.duration =
+      this->can_read_store() ? kPromiseLength : kPromiseLengthWithoutStore;
+  for (const auto& [group, record] : this->leases.records()) {
+    if (record.state == PrimaryState::kServing &&
+        !this->failover.has_handover(group))
+      answer.version_by_group.emplace(group, record.version);
+  }
+  this->failover.DidPromise(now + answer.duration);
+  return answer;
+}
+
 std::vector<uint64_t> Gateway::CachedVersions() const {
   return {this->configuration.version().value_or(0),
           this->targets.version().value_or(0),
@@ -658,10 +755,13 @@
           this->FindDispatcher(query.record.group))
     last_answer_age = dispatcher->PrimaryAnswerAge();
   // The primary has been replaced or reopened since the query was sent.
-  if (newest && newest->version > query.record.version)
-    return ClosePrimaryAnswer{newest->term > query.record.term,
-                              last_answer_age};
-  return ClosePrimaryAnswer{this->StopPrimary(query.record), last_answer_age};
+  const bool has_stopped = newest && newest->version > query.record.version
+                               ? newest->term > query.record.term
+                               : this->StopPrimary(query.record);
+  const Duration promised_for =
+      this->failover.promised_until() - this->dependencies.scheduler.Now();
+  return ClosePrimaryAnswer{has_stopped, last_answer_age,
+                            std::max(promised_for, Duration(0))};
 }
 
 HealthAnswer Gateway::HandleHealth(const HealthQuery& query) {
@@ -695,6 +795,8 @@
     return this->forward_server.Handle(*next, send_answer);
   if (const auto* end = std::get_if<RollbackQuery>(&query))
     return this->forward_server.Handle(*end, send_answer);
+  if (std::holds_alternative<PromiseQuery>(query))
+    return send_answer(this->MakePromise());
   if (const auto* change = std::get_if<StoreChangeQuery>(&query))
     return this->store.Handle(*change, send_answer);
   send_answer(this->HandleHealth(std::get<HealthQuery>(query)));
@@ -791,7 +893,11 @@
   this->leases.ReleaseAll(TimePoint::max());
   for (auto& [group, dispatcher] : this->dispatchers)
     dispatcher->DidChangeLeases();
-  this->registration.Deregister();
+  // A coordinator has to count the row of a proxy whose promises still last.
+  this->registration.Deregister(this->dependencies.scheduler.Now() <
+                                        this->failover.promised_until()
+                                    ? MemberRegistration::Row::kMarkAsGone
+                                    : MemberRegistration::Row::kRemove);
   this->dependencies.scheduler.PostAfter(
       kShutdownFlushDelay, this->life.Wrap([this] { this->did_drain(); }));
 }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -13,6 +13,7 @@
 
 #include "LibCoordination/coordination_view.h"
 #include "LibCoordination/failover_agent.h"
+#include "LibCoordination/lease_promises.h"
 #include "LibCoordination/member_registration.h"
 #include "LibCoordination/member_watch.h"
 #include "LibCore/lifetime_guard.h"
@@ -145,6 +146,16 @@
   // readers.
   void UpdateTableSources();
   void RequestCopies();
+  // Whether the coordination table has been read recently, directly or through
+  // another proxy.
+  bool can_read_store() const;
+  // Asks the other homes to promise that they start no handover, when the store
+  // could not be read for a while.
+  void RequestPromises();
+  void DidReceivePromise(const std::string& address,
+                         const PromiseAnswer& answer,
+                         TimePoint asked_at);
+  PromiseAnswer MakePromise();
   void ApplyCopies(const StoreCopyAnswer& answer, TimePoint requested_at);
   StoreCopyAnswer MakeCopies(const StoreCopyQuery& query) const;
   std::vector<uint64_t> CachedVersions() const;
@@ -180,6 +191,7 @@
   TableCache coordination;
   CoordinationView view;
   PrimaryLeases leases;
+  LeasePromises promises;
   TargetDirectory directory;
   std::optional<RouteTable> routes;
   HomeAssignment home_assignment;
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -34,6 +34,8 @@
 constexpr int kContinueAnswer = 18;
 constexpr int kRollbackQuery = 19;
 constexpr int kRollbackAnswer = 20;
+constexpr int kPromiseQuery = 21;
+constexpr int kPromiseAnswer = 22;
 
 json ToJson(const TableCopy& copy) {
   json rows = nullptr;
@@ -155,6 +157,16 @@
   json operator()(const RollbackAnswer&) const {
     return json::array({kRollbackAnswer});
   }
+  json operator()(const PromiseQuery&) const {
+    return json::array({kPromiseQuery});
+  }
+  json operator()(const PromiseAnswer& answer) const {
+    json versions = json::array();
+    for (const auto& [group, version] : answer.version_by_group)
+      versions.push_back(json::array({group.value, version}));
+    return json::array({kPromiseAnswer, answer.incarnation,
+                        answer.duration.count(), std::move(versions)});
+  }
   json operator()(const NotSent&) const {
     // Made by the querying proxy itself and never encoded.
     KINGCUPMILL_VERIFY(false);
@@ -162,7 +174,8 @@
   }
   json operator()(const ClosePrimaryAnswer& answer) const {
     return json::array({kClosePrimaryAnswer, answer.has_stopped,
-                        answer.primary_answer_age.count()});
+                        answer.primary_answer_age.count(),
+                        answer.promised_for.count()});
   }
   json operator()(const HealthAnswer& answer) const {
     return json::array(
@@ -198,6 +211,16 @@
   return query;
 }
 
+ClosePrimaryAnswer ClosePrimaryAnswerFromJson(const json& body) {
+  ClosePrimaryAnswer answer;
+  answer.has_stopped = body.at(1);
+  answer.primary_answer_age = Duration(body.at(2).get<int64_t>());
+  // Earlier versions give no promises.
+  if (body.size() > 3)
+    answer.promised_for = Duration(body.at(3).get<int64_t>());
+  return answer;
+}
+
 HealthAnswer HealthAnswerFromJson(const json& body) {
   HealthAnswer answer;
   answer.incarnation = body.at(1);
@@ -207,6 +230,16 @@
   return answer;
 }
 
+PromiseAnswer PromiseAnswerFromJson(const json& body) {
+  PromiseAnswer answer;
+  answer.incarnation = body.at(1);
+  answer.duration = Duration(body.at(2).get<int64_t>());
+  for (const json& entry : body.at(3))
+    answer.version_by_group.emplace(GroupName{entry.at(0)},
+                                    entry.at(1).get<uint64_t>());
+  return answer;
+}
+
 StoreChangeQuery StoreChangeQueryFromJson(const json& body) {
   StoreChangeQuery query;
   query.table = body.at(1);
@@ -249,9 +282,7 @@
     case kStoreCopyAnswer:
       return NumberedAnswer{number, StoreCopyAnswerFromJson(body)};
     case kClosePrimaryAnswer:
-      return NumberedAnswer{
-          number,
-          ClosePrimaryAnswer{body.at(1), Duration(body.at(2).get<int64_t>())}};
+      return NumberedAnswer{number, ClosePrimaryAnswerFromJson(body)};
     case kBorrowQuery:
       return NumberedQuery{number,
                            BorrowQuery{body.at(1), GroupName{body.at(2)},
@@ -286,6 +317,10 @@
       return NumberedAnswer{number, RollbackAnswer{}};
     case kHealthAnswer:
       return NumberedAnswer{number, HealthAnswerFromJson(body)};
+    case kPromiseQuery:
+      return NumberedQuery{number, PromiseQuery{}};
+    case kPromiseAnswer:
+      return NumberedAnswer{number, PromiseAnswerFromJson(body)};
     default:
       throw json::other_error::create(501, "unknown message", &body);
   }
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -2,6 +2,7 @@
 #define LIBPEER_PEER_QUERY_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -70,6 +71,9 @@
   // How long ago the primary last answered the peer; Duration::max() when the
   // peer does not query it.
   Duration primary_answer_age{};
+  // For how much longer a promise of the peer to start no handover may extend
+  // the lease of another proxy.
+  Duration promised_for{};
 };
 
 // Asks for the health of a group as seen by the peer. With an empty group it
@@ -89,6 +93,21 @@
   bool has_recent_replica_answer = false;
 };
 
+// Asks the peer to promise that it starts no handover for a while. The querying
+// proxy cannot read the store and extends its leases with such promises.
+struct PromiseQuery {};
+
+struct PromiseAnswer {
+  // Identifies the run of the peer's process; empty when it is not registered
+  // and promises nothing.
+  std::string incarnation;
+  // How long the promise holds after the peer received the query.
+  Duration duration{};
+  // The groups that the promise covers, with the versions of their primaries'
+  // records.
+  std::map<GroupName, uint64_t> version_by_group;
+};
+
 // Asks the peer to lend one of its connections to a target. The connection is
 // used with RelayQuery and given back with ReturnQuery.
 struct BorrowQuery {
@@ -157,7 +176,8 @@
                                StoreChangeQuery,
                                ForwardQuery,
                                ContinueQuery,
-                               RollbackQuery>;
+                               RollbackQuery,
+                               PromiseQuery>;
 using PeerAnswer = std::variant<StoreCopyAnswer,
                                 ClosePrimaryAnswer,
                                 HealthAnswer,
@@ -168,6 +188,7 @@
                                 ForwardAnswer,
                                 ContinueAnswer,
                                 RollbackAnswer,
+                                PromiseAnswer,
                                 NotSent>;
 
 // Encodes a query or an answer as CBOR. An answer carries the number of its
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -165,6 +165,16 @@
     CHECK(answer.committed == LogPoint{Term{1}, Position{3}});
   }
 
+  SUBCASE("that promise to start no handover arrive as they were sent") {
+    EncodeAndDecode(PromiseQuery{});
+    const PromiseAnswer sent{
+        "run-1", std::chrono::milliseconds(1500), {{GroupName{"orders"}, 7}}};
+    const PromiseAnswer received = EncodeAndDecodeAnswer(sent);
+    CHECK(received.incarnation == sent.incarnation);
+    CHECK(received.duration == sent.duration);
+    CHECK(received.version_by_group == sent.version_by_group);
+  }
+
   SUBCASE("that are malformed are rejected without a crash") {
     CHECK(rc::check("any bytes", [](const std::vector<uint8_t>& bytes) {
       // Must not crash; random bytes may happen to be a valid message.
--- a/Libraries/LibPrimary/primary_leases.cc
+++ b/Libraries/LibPrimary/primary_leases.cc
@@ -40,9 +40,25 @@
       continue;
     TimePoint& expiry = this->expiry_by_group[record.group];
     expiry = std::max(expiry, sent_at + this->length);
+    TimePoint& granted_at = this->granted_at_by_group[record.group];
+    granted_at = std::max(granted_at, sent_at);
   }
 }
 
+void PrimaryLeases::Extend(const GroupName& group,
+                           uint64_t version,
+                           TimePoint until) {
+  const auto expiry = this->expiry_by_group.find(group);
+  if (expiry == this->expiry_by_group.end())
+    return;
+  const PrimaryRecord& record = this->record_by_group.at(group);
+  if (record.version != version || record.state != PrimaryState::kServing)
+    return;
+  const TimePoint latest =
+      this->granted_at_by_group.at(group) + this->maximum_length;
+  expiry->second = std::max(expiry->second, std::min(until, latest));
+}
+
 void PrimaryLeases::ReleaseAll(TimePoint now) {
   this->expiry_by_group.clear();
   this->earliest_read_sent_at = now;
--- a/Libraries/LibPrimary/primary_leases_test.cc
+++ b/Libraries/LibPrimary/primary_leases_test.cc
@@ -13,6 +13,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kLeaseLength = seconds(6);
+constexpr Duration kMaximumLeaseLength = seconds(10);
 const GroupName kGroup{"orders"};
 
 PrimaryRecord Serving(uint64_t version, uint64_t term = 1) {
@@ -41,7 +42,7 @@
 }  // namespace
 
 TEST_CASE("leases on a primary") {
-  PrimaryLeases leases(kLeaseLength);
+  PrimaryLeases leases(kLeaseLength, kMaximumLeaseLength);
   const TimePoint start{seconds(100)};
 
   SUBCASE("do not exist before a read") {
@@ -104,6 +105,38 @@
       }
     }
 
+    SUBCASE("are extended by promises of the other homes") {
+      leases.Extend(kGroup, 3, start + seconds(8));
+      CHECK(leases.LeasedPrimary(kGroup, start + milliseconds(7999)));
+      CHECK_FALSE(leases.LeasedPrimary(kGroup, start + seconds(8)).has_value());
+
+      SUBCASE("but not beyond the maximum since the last read") {
+        leases.Extend(kGroup, 3, start + seconds(60));
+        CHECK(leases.LeasedPrimary(
+            kGroup, start + kMaximumLeaseLength - milliseconds(1)));
+        CHECK_FALSE(leases.LeasedPrimary(kGroup, start + kMaximumLeaseLength)
+                        .has_value());
+      }
+
+      SUBCASE("until a read shows the primary as closing") {
+        ApplyRead(leases, Closing(4), start + seconds(1));
+        leases.Extend(kGroup, 4, start + seconds(8));
+        CHECK_FALSE(
+            leases.LeasedPrimary(kGroup, start + seconds(1)).has_value());
+      }
+    }
+
+    SUBCASE("are not extended by promises about another version") {
+      leases.Extend(kGroup, 2, start + seconds(8));
+      CHECK_FALSE(leases.LeasedPrimary(kGroup, start + seconds(7)).has_value());
+    }
+
+    SUBCASE("are not extended once they were released") {
+      leases.Release(kGroup);
+      leases.Extend(kGroup, 3, start + seconds(8));
+      CHECK_FALSE(leases.LeasedPrimary(kGroup, start + seconds(1)).has_value());
+    }
+
     SUBCASE("after a release of all are granted only by later reads") {
       leases.ReleaseAll(start + seconds(1));
       ApplyRead(leases, Serving(3), start + milliseconds(900));
@@ -115,7 +148,7 @@
 
   SUBCASE("are not granted on a closed version by answers in any order") {
     CHECK(rc::check("closed versions", [] {
-      PrimaryLeases held(kLeaseLength);
+      PrimaryLeases held(kLeaseLength, kMaximumLeaseLength);
       const TimePoint base{seconds(100)};
       const auto closed_version = *rc::gen::inRange<uint64_t>(2, 20);
       const auto versions = *rc::gen::container<std::vector<uint64_t>>(
--- a/Libraries/LibTables/row_store.h
+++ b/Libraries/LibTables/row_store.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,9 @@
 struct TableRows {
   std::vector<StoreRow> rows;
   uint64_t version = 0;
+  // The store's steady clock when it made the answer, or nothing if the store
+  // does not say.
+  std::optional<Duration> store_time = std::nullopt;
 };
 
 // Brings a copy of a table up to a newer version of the store.
--- a/Libraries/LibTables/table_cache.cc
+++ b/Libraries/LibTables/table_cache.cc
@@ -94,7 +94,9 @@
     if (read.version >= this->known_version.value_or(0)) {
       this->Apply(read, is_snapshot);
       this->needs_full_read = false;
-      this->newest_read_at = std::max(this->newest_read_at, sent_at);
+      this->newest_read_at =
+          std::max(this->newest_read_at,
+                   this->store_clock.MadeAt(sent_at, now, read.store_time));
       this->did_update();
     }
   }
--- a/Libraries/LibTables/table_cache.h
+++ b/Libraries/LibTables/table_cache.h
@@ -10,6 +10,7 @@
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibTables/row_store.h"
+#include "LibTables/store_clock.h"
 
 namespace kingcupmill {
 
@@ -79,7 +80,8 @@
   std::optional<uint64_t> version() const { return this->known_version; }
   // The newest version in which a row of the table is known to have changed.
   uint64_t last_changed_version() const { return this->newest_row_version; }
-  // When the read that confirmed this copy was sent; the copy was current then.
+  // The copy was current then: a lower bound of when the store made the answer
+  // that confirmed it.
   TimePoint read_at() const { return this->newest_read_at; }
   // When the store last answered this proxy itself; the epoch before the first
   // answer.
@@ -113,6 +115,7 @@
   uint64_t removals_known_since = 0;
   Source source = Source::kStore;
   bool needs_full_read = true;
+  StoreClock store_clock;
   TimePoint newest_read_at{};
   TimePoint last_answer_at{};
   std::optional<TimePoint> available_from;
