LibGateway: Report not ready when most leases cannot be renewed

Change: such a VM counts as isolated, so that callers go to others, from the moment that the promises of most homes are missing, which is before its leases end. An isolated VM closes idle sessions as before.

--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -811,6 +811,24 @@
   this->failover.Drain();
 }
 
+size_t Gateway::UnrenewableGroups() const {
+  if (this->can_read_store())
+    return 0;
+  const TimePoint now = this->dependencies.scheduler.Now();
+  size_t count = 0;
+  for (const GroupName& group : this->registration.registered_groups()) {
+    const PrimaryRecord* record = this->leases.Find(group);
+    const auto until =
+        record ? this->promises.PromisedUntil(group, record->version,
+                                              this->view.members(),
+                                              this->options.peer_address)
+               : std::nullopt;
+    if (!until || *until <= now)
+      ++count;
+  }
+  return count;
+}
+
 void Gateway::TickIsolation() {
   const TimePoint now = this->dependencies.scheduler.Now();
   IsolationDetector::Observation observation;
@@ -820,6 +838,7 @@
     if (this->PrimarySilence(group) > kUnreachableAfter)
       ++observation.silent_groups;
   }
+  observation.unrenewable_groups = this->UnrenewableGroups();
   for (const auto& [address, member] : this->view.members()) {
     if (member.place == this->options.place || member.is_gone)
       continue;
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -171,6 +171,9 @@
   // requests if it is a home, else as reported by the homes in its place.
   // Without a home there, the silence of the other places also counts.
   Duration PrimarySilence(const GroupName& group) const;
+  // Returns the number of groups of which this proxy is a home and on whose
+  // primary it cannot renew its lease.
+  size_t UnrenewableGroups() const;
   void TickIsolation();
   // Closes at most `maximum_count` sessions without an open statement or
   // transaction, the oldest first.
--- a/Libraries/LibGateway/isolation_detector.cc
+++ b/Libraries/LibGateway/isolation_detector.cc
@@ -11,9 +11,11 @@
 }  // namespace
 
 void IsolationDetector::Observe(const Observation& observation, TimePoint now) {
-  this->is_suspected = observation.groups > 0 &&
-                       observation.remote_members > 0 &&
-                       2 * observation.silent_groups > observation.groups;
+  const bool is_losing_leases =
+      2 * observation.unrenewable_groups > observation.groups;
+  this->is_suspected =
+      observation.groups > 0 && observation.remote_members > 0 &&
+      (2 * observation.silent_groups > observation.groups || is_losing_leases);
   if (!this->is_suspected) {
     this->suspected_since.reset();
     this->isolated_since.reset();
@@ -24,7 +26,7 @@
   const Duration suspected_for = now - *this->suspected_since;
   const bool has_recent_answer =
       observation.last_answer_age < kConfirmationPeriod;
-  if (has_recent_answer) {
+  if (has_recent_answer && !is_losing_leases) {
     this->isolated_since.reset();
     return;
   }
--- a/Libraries/LibGateway/isolation_detector.h
+++ b/Libraries/LibGateway/isolation_detector.h
@@ -11,13 +11,17 @@
 // Detects that this proxy is isolated by a network partition, so that callers
 // should use other proxies instead: most primaries do not answer it, and no
 // proxy in another place does either. A proxy that is alone because the others
-// are down still reaches the primaries and keeps serving.
+// are down still reaches the primaries and keeps serving, as long as it can
+// renew its leases on most of them.
 class IsolationDetector {
  public:
   struct Observation {
     size_t groups = 0;
     // Groups whose primary does not answer.
     size_t silent_groups = 0;
+    // Groups on whose primary the lease cannot be renewed: neither the store
+    // nor most of the homes answer.
+    size_t unrenewable_groups = 0;
     // Proxies in other places that are not known to be gone.
     size_t remote_members = 0;
     // The time since the last answer from any of these proxies.
--- a/Libraries/LibGateway/isolation_detector_test.cc
+++ b/Libraries/LibGateway/isolation_detector_test.cc
@@ -67,6 +67,25 @@
     CHECK_FALSE(detector.is_isolated());
   }
 
+  // The VMs were split in two, and this side reaches the primaries but neither
+  // the store nor most homes: its leases end within seconds.
+  SUBCASE("reports isolation when most leases cannot be renewed") {
+    IsolationDetector::Observation split = Isolated();
+    split.silent_groups = 0;
+    split.unrenewable_groups = 2;
+    split.last_answer_age = milliseconds(50);
+    detector.Observe(split, start);
+    CHECK_FALSE(detector.is_isolated());
+    detector.Observe(split, start + milliseconds(400));
+    CHECK(detector.is_isolated());
+
+    SUBCASE("until they can be renewed again") {
+      split.unrenewable_groups = 1;
+      detector.Observe(split, start + milliseconds(500));
+      CHECK_FALSE(detector.is_isolated());
+    }
+  }
+
   SUBCASE("reports no isolation when there is no other place to use instead") {
     IsolationDetector::Observation single = Isolated();
     single.remote_members = 0;
