LibCoordination: Let a home that was isolated reconnect before it suspects a primary

Cause: 100 ms after twelve seconds of isolation, a home whose replicas answered again, but whose connection to the primary was still the broken one, took the primary for lost with the vote of others in the same state, and replaced it (emulated cluster in five places, found by the test 'recovers without a promotion after a third of the proxies was isolated' when the order of the queue changed).

Change: the replicas must have answered for a second.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -24,6 +24,11 @@
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(400);
 // A member's health answer is used for this long.
 constexpr Duration kHealthAnswerLifetime = std::chrono::milliseconds(600);
+// Within this time after the first answer of a replica, a proxy that was
+// isolated also reaches the primary again.
+constexpr Duration kReconnectTime = std::chrono::milliseconds(1000);
+// Without traffic, replicas are not asked for up to about this time.
+constexpr Duration kReplicaPause = std::chrono::seconds(3);
 // A suspicion about which the homes were not asked for this long is dropped.
 constexpr Duration kSuspicionLifetime = std::chrono::milliseconds(1000);
 // Without a majority of the members, a proxy that reaches replicas and the
@@ -83,6 +88,12 @@
   if (!record)
     return this->CreateRecord(group);
   const TimePoint now = this->context.scheduler.Now();
+  if (dispatcher->has_recent_replica_answer()) {
+    ReplicaAnswers& answers = this->replica_answers[group];
+    if (now - answers.last_at > kReplicaPause)
+      answers.since = now;
+    answers.last_at = now;
+  }
   const auto trigger = this->FindTrigger(*record, *dispatcher);
   if (!trigger) {
     this->triggered.erase(group);
@@ -176,7 +187,10 @@
   }
   if (entry == targets.end() && this->context.is_directory_current())
     return Trigger{Handover::Reason::kLost, Handover::Reopen::kAllowed};
+  // A proxy that was isolated itself reaches the primary again a little after
+  // the replicas, once its broken connections have been replaced.
   if (!dispatcher.has_recent_replica_answer() ||
+      now - this->replica_answers[group].since < kReconnectTime ||
       !this->is_loss_confirmed(record, dispatcher))
     return std::nullopt;
   return Trigger{Handover::Reason::kLost, Handover::Reopen::kAllowed};
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -123,6 +123,13 @@
   };
   std::map<GroupName, Triggered> triggered;
   std::map<GroupName, TimePoint> leaving_since;
+  // Since when a replica of the group has answered this proxy without a long
+  // pause, and when it last did.
+  struct ReplicaAnswers {
+    TimePoint since{};
+    TimePoint last_at{};
+  };
+  std::map<GroupName, ReplicaAnswers> replica_answers;
   std::map<GroupName, TimePoint> earliest_handover_at;
   std::map<GroupName, TimePoint> create_tried_at;
   TimePoint promised_until_time{};
