LibGateway: Ask other proxies for copies before a lease ends

Cause: limits on the age of the coordination table were those of a lease of 7.5 s, so a proxy whose store reader fell silent lost its leases first.

Change: copies are asked for after 1.6 s and 1.9 s, and the store is read itself after 3 s. A read's age counts from when the store made it, so it is 1.3 s at most as long as the readers work.

--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -39,17 +39,17 @@
 constexpr Duration kPromiseLengthWithoutStore = std::chrono::milliseconds(5000);
 // When the store has not answered for this long, which is more than a long poll
 // takes, copies of its tables are requested from another proxy.
-constexpr Duration kStoreStalenessLimit = std::chrono::milliseconds(2500);
-// Copies from a store reader are older by one more long poll.
-constexpr Duration kReaderStalenessLimit = std::chrono::milliseconds(4100);
+constexpr Duration kStoreStalenessLimit = std::chrono::milliseconds(1600);
+// Copies from a store reader are a little older.
+constexpr Duration kReaderStalenessLimit = std::chrono::milliseconds(1900);
 constexpr Duration kUnavailableStoreStalenessLimit =
     std::chrono::milliseconds(700);
 constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
 constexpr Duration kFailoverCopyInterval = std::chrono::milliseconds(100);
 constexpr Duration kCopyTimeout = std::chrono::milliseconds(600);
-// When the copies from the store readers are older than two long polls and a
-// second, the proxy reads the store itself for a while.
-constexpr Duration kReaderFallbackAge = std::chrono::milliseconds(4600);
+// When the copies from the store readers are older than two long polls, the
+// proxy reads the store itself for a while.
+constexpr Duration kReaderFallbackAge = std::chrono::milliseconds(3000);
 constexpr Duration kDirectReadPeriod = std::chrono::seconds(6);
 // The pause after a failed read of the store grows with the number of members,
 // to bound their total request rate.
