--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -601,9 +601,10 @@
   const std::set<GroupName> groups = this->registration.registered_groups();
   std::vector<std::string> others;
   for (const auto& [address, member] : this->view.members()) {
+    const std::set<GroupName>& home_of = member.home_of;
     const bool shares_group = std::any_of(
         groups.begin(), groups.end(),
-        [&](const GroupName& group) { return member.home_of.contains(group); });
+        [&](const GroupName& group) { return home_of.contains(group); });
     if (address != this->options.peer_address && member.has_leases() &&
         shares_group)
       others.push_back(address);
