--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -190,6 +190,36 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  // Three of five proxies are cut off with the primary. They extend their
+  // leases by promises, so the two that reach the store must not replace it
+  // soon.
+  SUBCASE("lets most proxies use a primary that the others have closed") {
+    cluster.RunFor(std::chrono::seconds(6));
+    const TargetName primary = cluster.group(0).leader().name();
+    for (size_t inside = 0; inside < 3; ++inside) {
+      cluster.FailStore(inside, EmulatedStoreAccess::Fault::kSilent,
+                        std::chrono::seconds(6));
+      for (size_t outside = 3; outside < 5; ++outside)
+        cluster.PartitionNodes(inside, outside);
+    }
+    for (size_t outside = 3; outside < 5; ++outside)
+      cluster.PartitionNodeFromTarget(outside, primary);
+    cluster.RunFor(std::chrono::seconds(4));
+    CHECK(cluster.node(3)
+              .gateway()
+              ->primary_leases()
+              .Find(cluster.group(0).name())
+              ->state == PrimaryState::kClosing);
+    const auto before = cluster.TotalCounts().writes_succeeded;
+    cluster.RunFor(std::chrono::milliseconds(1500));
+    CHECK(cluster.TotalCounts().writes_succeeded > before + 10);
+    CHECK(cluster.group(0).leader().name() == primary);
+    CHECK(FirstViolation(cluster) == "");
+    cluster.HealAll();
+    cluster.RunFor(std::chrono::seconds(8));
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE(
       "finishes a handover though the store rejects the coordinator's calls") {
     cluster.RunFor(std::chrono::seconds(2));
