Review: Show the restart that ends a group with real processes too

Three proxies and one database: the primary is lost for good, the proxies lose power for 3.5 s and are back after its entry has lapsed.

--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -689,11 +689,14 @@
   void CheckIn() {
     for (;;) {
       this->PublishAll();
-      SleepMs(kHeartbeatMs);
-      std::lock_guard<std::mutex> publishing(this->publish_mutex);
-      for (const auto& [id, heard] : this->heard_ms)
-        if (NowMs() - heard >= 3 * kHeartbeatMs)
-          this->store.Remove("servers", id);
+      const int64_t next = NowMs() + kHeartbeatMs;
+      while (NowMs() < next) {
+        SleepMs(20);
+        std::lock_guard<std::mutex> publishing(this->publish_mutex);
+        for (const auto& [id, heard] : this->heard_ms)
+          if (NowMs() - heard >= 3 * kHeartbeatMs)
+            this->store.Remove("servers", id);
+      }
     }
   }
 
