--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -22,8 +22,10 @@
   explicit Deployment(const Options& options)
       : options(options),
         record(options.record_path),
-        store([this](const std::string& service, const std::string& id,
-                     const std::string& holder, uint64_t epoch) {
+        store([this](const std::string& service,
+                     const std::string& id,
+                     const std::string& holder,
+                     uint64_t epoch) {
           return service == "svc1" ? this->group.Promote(id, holder, epoch)
                                    : 409;
         }),
@@ -65,23 +67,22 @@
       if (kind > 0)
         routes.back()["max_staleness_ms"] = 1500;
     }
-    const json configuration = {
-        {"version", 7},
-        {"routes", routes},
-        {"services",
-         {{{"name", "svc1"},
-           {"health_path", "/health"},
-           {"max_conns", 16},
-           {"protocol", "h1"},
-           {"tls", false},
-           {"sync_replicas", this->options.sync}}}},
-        {"limits", {{"tx_idle_ms", 3000}}}};
+    const json configuration = {{"version", 7},
+                                {"routes", routes},
+                                {"services",
+                                 {{{"name", "svc1"},
+                                   {"health_path", "/health"},
+                                   {"max_conns", 16},
+                                   {"protocol", "h1"},
+                                   {"tls", false},
+                                   {"sync_replicas", this->options.sync}}}},
+                                {"limits", {{"tx_idle_ms", 3000}}}};
     this->store.Put("op", "config", configuration.dump());
     this->group.Start();
     for (size_t index = 0; index < this->options.proxies; ++index) {
       auto proxy = std::make_unique<Proxy>(
-          this->options.root + "/target/kingcupmill-edge",
-          this->options.folder, "proxy-" + std::to_string(index + 1));
+          this->options.root + "/target/kingcupmill-edge", this->options.folder,
+          "proxy-" + std::to_string(index + 1));
       std::ostringstream settings;
       const std::string ip = this->IpOf(index);
       settings << "vm = \"edge-" << index + 1 << "\"\nplace = \""
--- a/review/standins/restart_hang.cc
+++ b/review/standins/restart_hang.cc
@@ -1,9 +1,12 @@
 // The primary is lost for good, and all proxies lose power 0.3 s later, for
-// 3.5 s. Checks RECOVER: of the requests sent later than recovery_s (12 s) after
-// the proxies are back, at least a quarter must be served.
+// 3.5 s. Checks RECOVER: of the requests sent later than recovery_s (12 s)
+// after the proxies are back, at least a quarter must be served.
 #include "deployment.h"
 
-using namespace review;
+using review::Deployment;
+using review::NowMs;
+using review::SleepMs;
+using review::Writer;
 
 int main(int argc, char** argv) {
   if (argc != 4)
@@ -53,9 +56,10 @@
         after_served += counts.second;
       }
     }
-  deployment.record.Line("before: %d of %d served; later than 12 s after the "
-                         "proxies were back: %d of %d served",
-                         before_served, before_sent, after_served, after_sent);
+  deployment.record.Line(
+      "before: %d of %d served; later than 12 s after the "
+      "proxies were back: %d of %d served",
+      before_served, before_sent, after_served, after_sent);
   printf("before %d of %d, after %d of %d\n", before_served, before_sent,
          after_served, after_sent);
   fflush(stdout);
--- a/review/standins/sync_loss.cc
+++ b/review/standins/sync_loss.cc
@@ -1,9 +1,15 @@
 // A service with sync_replicas = 1. The replica that receives first is being
 // released (draining) when the primary crashes. Checks LOST: every commit that
-// was acknowledged before a promotion must be in the log of the promoted server.
+// was acknowledged before a promotion must be in the log of the promoted
+// server.
 #include "deployment.h"
 
-using namespace review;
+using review::Commit;
+using review::Deployment;
+using review::NowMs;
+using review::Server;
+using review::SleepMs;
+using review::Writer;
 
 int main(int argc, char** argv) {
   if (argc != 4)
@@ -56,10 +62,10 @@
       if (promoted_at < 0 || at >= promoted_at || promoted_log.count(id))
         continue;
       ++lost;
-      deployment.record.Line("LOST: %s, acknowledged at %.3f, isn't in the log "
-                             "of %s when that is promoted",
-                             id.c_str(), static_cast<double>(at) / 1000.0,
-                             promoted.c_str());
+      deployment.record.Line(
+          "LOST: %s, acknowledged at %.3f, isn't in the log "
+          "of %s when that is promoted",
+          id.c_str(), static_cast<double>(at) / 1000.0, promoted.c_str());
     }
   }
   deployment.record.Line("acknowledged=%zu promoted=%s lost=%zu", acknowledged,
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -210,8 +210,7 @@
       return false;
     std::thread([this, listening = this->fd.load()] {
       for (;;) {
-        const int accepted =
-            accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+        const int accepted = accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
         if (accepted < 0)
           return;
         const int one = 1;
@@ -261,9 +260,10 @@
     bool is_deleted = false;
   };
   // Returns the HTTP status.
-  using Promote =
-      std::function<int(const std::string& service, const std::string& id,
-                        const std::string& holder, uint64_t epoch)>;
+  using Promote = std::function<int(const std::string& service,
+                                    const std::string& id,
+                                    const std::string& holder,
+                                    uint64_t epoch)>;
 
   explicit Store(Promote promote) : promote(std::move(promote)) {}
 
@@ -326,8 +326,8 @@
     std::string decoded;
     for (size_t at = 0; at < text.size(); ++at) {
       if (text[at] == '%' && at + 2 < text.size()) {
-        decoded += static_cast<char>(
-            std::stoi(text.substr(at + 1, 2), nullptr, 16));
+        decoded +=
+            static_cast<char>(std::stoi(text.substr(at + 1, 2), nullptr, 16));
         at += 2;
       } else {
         decoded += text[at];
@@ -350,8 +350,8 @@
   json RowJson(const std::string& table,
                const std::string& key,
                const Row& row) const {
-    json entry{{"table", table}, {"part", ""}, {"key", key},
-               {"ver", row.version}};
+    json entry{
+        {"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
     if (row.is_deleted)
       entry["deleted"] = true;
     else
@@ -451,8 +451,8 @@
       answer["has_more"] = false;
     } else if (path == "/kingcupmill/rows-feed") {
       const uint64_t after = std::stoull(Parameter(target, "after"));
-      const auto end = Clock::now() + milliseconds(std::stoll(
-                                          Parameter(target, "wait_ms")));
+      const auto end =
+          Clock::now() + milliseconds(std::stoll(Parameter(target, "wait_ms")));
       const auto has_changes = [&] {
         for (const auto& [key, row] : this->tables[table])
           if (row.version > after)
@@ -576,7 +576,9 @@
   // Called when a promotion takes effect, with the log of the new primary.
   std::function<void(const Server&)> did_promote;
 
-  int Promote(const std::string& id, const std::string& holder, uint64_t epoch) {
+  int Promote(const std::string& id,
+              const std::string& holder,
+              uint64_t epoch) {
     this->record.Line("promotion order id=%s holder=%s epoch=%llu", id.c_str(),
                       holder.c_str(), static_cast<unsigned long long>(epoch));
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -602,10 +604,9 @@
         return;
       chosen->term = newest + 1;
       chosen->leads = true;
-      this->record.Line("server %s leads term %llu with %zu commits",
-                        chosen->id.c_str(),
-                        static_cast<unsigned long long>(chosen->term),
-                        chosen->log.size());
+      this->record.Line(
+          "server %s leads term %llu with %zu commits", chosen->id.c_str(),
+          static_cast<unsigned long long>(chosen->term), chosen->log.size());
       if (this->did_promote)
         this->did_promote(*chosen);
       this->changed.notify_all();
@@ -647,8 +648,8 @@
         replica->term = leader->term;
         std::vector<Commit>& log = replica->log;
         size_t common = std::min(log.size(), leader->log.size());
-        while (common > 0 && log[common - 1].request !=
-                                 leader->log[common - 1].request)
+        while (common > 0 &&
+               log[common - 1].request != leader->log[common - 1].request)
           --common;
         log.resize(common);
         while (log.size() < leader->log.size() &&
@@ -802,15 +803,14 @@
     } else if (word == "STATUS" || word == "STEPDOWN") {
       if (word == "STEPDOWN" && server.term < std::stoull(text))
         server.leads = false;
-      result = std::string("DATAROW ") + (server.leads ? "primary" : "replica") +
-               " " + std::to_string(server.term) + " " + PositionOf(server) +
+      result = std::string("DATAROW ") +
+               (server.leads ? "primary" : "replica") + " " +
+               std::to_string(server.term) + " " + PositionOf(server) +
                " 0 0 0 1\r\nCOMPLETE -\r\n";
     } else if (is_statement && result[0] != 'E') {
       const bool is_plain = session.state == 'T' && !session.is_read_only;
-      const bool is_empty_commit =
-          word == "COMMIT" && session.writes.empty();
-      const std::string receipt =
-          "COMPLETE r." + id + "." + server.id + "\r\n";
+      const bool is_empty_commit = word == "COMMIT" && session.writes.empty();
+      const std::string receipt = "COMPLETE r." + id + "." + server.id + "\r\n";
       if ((is_write || (is_plain && !is_empty_commit)) && !server.leads) {
         refuse("READONLY");
       } else if (is_behind) {
@@ -834,8 +834,8 @@
       this->record.Line("%s runs %s %s -> %s", server.id.c_str(), id.c_str(),
                         word.c_str(), result.substr(0, 8).c_str());
     }
-    answer = result + "READY " + session.state + " " + PositionOf(server) +
-             "\r\n";
+    answer =
+        result + "READY " + session.state + " " + PositionOf(server) + "\r\n";
     return true;
   }
 
@@ -845,8 +845,7 @@
               const std::string& request,
               std::unique_lock<std::mutex>& lock) {
     const size_t index = server.log.size();
-    server.log.push_back(
-        Commit{server.term, index + 1, request, NowMs()});
+    server.log.push_back(Commit{server.term, index + 1, request, NowMs()});
     this->changed.wait(lock, [&] {
       if (!server.is_running)
         return true;
