Review: Show a promotion order that arrives after its successor's

Cause: the connection of an order is closed after 0.9 s without a reset, so its bytes outlive a cut that is longer than the coordinator's lease and the successor's margin.

--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -17,6 +17,9 @@
     int sync = 0;
     std::vector<int64_t> lags_ms = {0, 20, 20};
     size_t proxies = 3;
+    // If not zero, each proxy reaches the store and the promotion order through
+    // relays of its own, from this offset on.
+    int relay_offset = 0;
   };
 
   explicit Deployment(const Options& options)
@@ -43,6 +46,8 @@
         "127.0.0.1", this->base, [this](int fd) { this->store.Serve(fd); });
     if (!this->http->Start())
       return false;
+    if (this->did_choose_ports && !this->did_choose_ports())
+      return false;
     const char* const zones[] = {"zone-a", "zone-b", "zone-c"};
     for (size_t index = 0; index < this->options.lags_ms.size(); ++index)
       if (!this->group.AddServer("i-" + std::to_string(index + 1),
@@ -89,8 +94,9 @@
                << zones[index % 3] << "\"\nip = \"" << ip
                << "\"\ncaller_address = \"" << ip << ":" << this->base + 30
                << "\"\nreadiness_address = \"" << ip << ":" << this->base + 31
-               << "\"\nstore_address = \"127.0.0.1:" << this->base
-               << "\"\npromotion_address = \"127.0.0.1:" << this->base
+               << "\"\nstore_address = \"127.0.0.1:" << this->StorePort(index)
+               << "\"\npromotion_address = \"127.0.0.1:"
+               << this->PromotionPort(index)
                << "\"\npeer_port = " << this->base + 32
                << "\nmetrics_port = " << this->base + 33
                << "\nseed_addresses = \"" << this->IpOf(0) << ":"
@@ -106,6 +112,18 @@
     return "127.0.3." + std::to_string(index + 1);
   }
   int caller_port() const { return this->base + 30; }
+  int StorePort(size_t index) const {
+    return this->options.relay_offset == 0
+               ? this->base
+               : this->base + this->options.relay_offset +
+                     2 * static_cast<int>(index);
+  }
+  int PromotionPort(size_t index) const {
+    return this->options.relay_offset == 0 ? this->base
+                                           : this->StorePort(index) + 1;
+  }
+  // Called once the ports are known, before the proxies start.
+  std::function<bool()> did_choose_ports;
 
   Options options;
   Record record;
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -582,6 +582,7 @@
     this->record.Line("promotion order id=%s holder=%s epoch=%llu", id.c_str(),
                       holder.c_str(), static_cast<unsigned long long>(epoch));
     std::lock_guard<std::mutex> lock(this->mutex);
+    this->epochs.push_back(epoch);
     Server* chosen = nullptr;
     uint64_t newest = 0;
     for (const auto& server : this->servers) {
@@ -614,6 +615,12 @@
     return 200;
   }
 
+  // The epoch numbers of all promotion orders, in the order of their arrival.
+  std::vector<uint64_t> Epochs() {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->epochs;
+  }
+
   std::mutex mutex;
   std::vector<std::unique_ptr<Server>> servers;
 
@@ -866,6 +873,7 @@
   int sync;
   std::condition_variable changed;
   std::string promoting;
+  std::vector<uint64_t> epochs;
   std::mutex publish_mutex;
   uint64_t sequence = 0;
   std::map<std::string, int64_t> heard_ms;
