--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,7 +8,10 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 cd "$root" || exit 2
-"$root/review/build/sync_loss" "$root" "$folder" "${TROUBLE:-1}"
+"$root/review/build/sync_loss" "$root" "$folder" "${TROUBLE:-1}" &
+standins=$!
+trap 'kill -KILL "$standins" 2>/dev/null; rm -rf "$folder"; exit 2' INT TERM HUP
+wait "$standins"
 code=$?
 cp "$folder/record.txt" "$here/record.txt" 2>/dev/null
 [ -z "${KEEP_LOGS:-}" ] || cp "$folder"/*.log "$KEEP_LOGS"/
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -897,6 +898,8 @@
     this->pid = fork();
     if (this->pid != 0)
       return;
+    // A proxy ends with the stand-ins, however those end.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("KINGCUPMILL_BOOT", settings.c_str(), 1);
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, 1);
