--- a/Libraries/LibTables/table_cache.cc
+++ b/Libraries/LibTables/table_cache.cc
@@ -98,6 +98,11 @@
           std::max(this->newest_read_at,
                    this->store_clock.MadeAt(sent_at, now, read.store_time));
       this->did_update();
+      this->is_behind_logged = false;
+    } else if (!std::exchange(this->is_behind_logged, true)) {
+      spdlog::warn(
+          "event=older_answer_ignored table={} version={} known_version={}",
+          this->options.table, read.version, *this->known_version);
     }
   }
   this->scheduler.PostAfter(pause, this->life.Wrap([this, number] {
--- a/Libraries/LibTables/table_cache.h
+++ b/Libraries/LibTables/table_cache.h
@@ -119,6 +119,8 @@
   TimePoint newest_read_at{};
   TimePoint last_answer_at{};
   std::optional<TimePoint> available_from;
+  // An answer older than the copy has been logged since the last newer one.
+  bool is_behind_logged = false;
   // Incremented with each read and change of source, so that the answers to
   // earlier reads are ignored.
   uint64_t read_number = 0;
