LibTables, platform: Order the versions of the store across restores

A store that is restored from a backup counts its versions from an older number. The caches took each answer with a lower number for an outdated one, ignored it and read again without a pause, so that a proxy kept its configuration, targets and records until the store had caught up, which a quiet store does not.

A version now holds the store's era (Store-Era) in its upper bits, so one comparison orders all histories. The client adds and strips the era, treats an answer to a poll from another era as lost history, and does not send a change that expects a version from an earlier era, since its number may have been assigned again. Messages between proxies carry the era in fields of its own, which an older build does not read. A cache pauses after any older answer.

The emulator and the stand-in of the store can be restored. The new cases of the cached table and of the store client fail if versions lack the era (a trial): the table keeps its old rows and never polls from the new version.

--- a/Libraries/LibEmulator/emulated_cluster.cc
+++ b/Libraries/LibEmulator/emulated_cluster.cc
@@ -156,8 +156,9 @@
                               std::to_string(static_cast<int>(kind))] = route;
     }
   }
+  this->configuration = this->codec->Add(std::move(table));
   this->emulated_store.Put(kConfigurationTable, kConfigurationKey,
-                           this->codec->Add(std::move(table)));
+                           this->configuration);
 }
 
 void EmulatedCluster::PublishTarget(const EmulatedTarget& target,
@@ -183,7 +184,7 @@
                            this->codec->Add(std::move(entry)));
 }
 
-void EmulatedCluster::PublishRoles() {
+void EmulatedCluster::PublishTargets() {
   Duration registers_after{};
   for (const auto& [name, group] : this->groups) {
     for (const auto& target : group->targets()) {
@@ -195,6 +196,10 @@
         this->PublishTarget(*target, name, this->is_leaving[target->name()]);
     }
   }
+}
+
+void EmulatedCluster::PublishRoles() {
+  this->PublishTargets();
   this->scheduler.PostAfter(
       this->options.starts_before_targets ? kRegisterInterval : kRoleInterval,
       [this] { this->PublishRoles(); });
@@ -388,6 +393,19 @@
   this->PublishConfiguration();
 }
 
+void EmulatedCluster::RestoreStore(Duration lost, Duration away) {
+  this->scheduler.PostAfter(away, [this, lost, away] {
+    this->emulated_store.Restore(lost + away);
+    this->published.clear();
+    this->PublishTargets();
+    this->emulated_store.Put(kConfigurationTable, kConfigurationKey,
+                             this->configuration);
+  });
+  // The silence ends after the restore, since it was posted later.
+  for (size_t index = 0; index < this->nodes.size(); ++index)
+    this->FailStore(index, EmulatedStoreAccess::Fault::kSilent, away);
+}
+
 void EmulatedCluster::HealAll() {
   this->partitions.HealAll();
   for (const auto& [name, group] : this->groups) {
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -76,6 +76,9 @@
   // The target announces that it is leaving, ends later and starts again.
   void ReleaseTarget(const TargetName& target);
   void ChangeConfiguration();
+  // The store is silent for `away` and comes back without the changes of `lost`
+  // before that. Targets and the operator write their rows again.
+  void RestoreStore(Duration lost, Duration away);
 
   EmulatedGroup& group(size_t index);
   EmulatedNode& node(size_t index) { return *this->nodes[index]; }
@@ -93,6 +96,8 @@
                      const GroupName& group,
                      bool is_leaving);
   void PublishRoles();
+  // Writes the entries of registered targets that the store does not have.
+  void PublishTargets();
   void PublishConfiguration();
   EmulatedNode::Dependencies NodeDependencies();
   // The proxies at which callers may open sessions.
@@ -120,6 +125,8 @@
   std::map<TargetName, bool> is_leaving;
   std::map<TargetName, TargetEntry> published;
   uint64_t revision = 0;
+  // The newest configuration as written to the store.
+  std::string configuration;
   TimePoint started_at{};
   NetworkPartitions::Fault fault = 0;
 };
--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -249,6 +249,22 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  // Guards against proxies that keep an outdated configuration because the
+  // version numbers of a restored store are lower than those of their copies.
+  SUBCASE("takes a configuration published after the store was restored") {
+    cluster.RunFor(std::chrono::seconds(1));
+    for (int change = 0; change < 5; ++change)
+      cluster.ChangeConfiguration();
+    cluster.RunFor(std::chrono::seconds(1));
+    cluster.RestoreStore(std::chrono::seconds(9), std::chrono::seconds(2));
+    cluster.RunFor(std::chrono::seconds(3));
+    cluster.ChangeConfiguration();
+    cluster.RunFor(std::chrono::seconds(1));
+    for (size_t index = 0; index < 5; ++index)
+      CHECK(cluster.node(index).gateway()->revision() == Revision{7});
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE("drops no statement when proxies restart in turn") {
     cluster.RunFor(std::chrono::seconds(2));
     const auto before = cluster.TotalCounts();
--- a/Libraries/LibEmulator/emulated_store.cc
+++ b/Libraries/LibEmulator/emulated_store.cc
@@ -88,7 +88,22 @@
     this->tables[table].erase(row.key);
   else
     this->tables[table].insert_or_assign(row.key, row);
-  this->changes.push_back(Change{table, std::move(row)});
+  this->changes.push_back(Change{table, std::move(row), this->scheduler.Now()});
+}
+
+void EmulatedStore::Restore(Duration lost) {
+  const TimePoint copied_at = this->scheduler.Now() - lost;
+  std::vector<Change> kept = std::exchange(this->changes, {});
+  std::erase_if(kept, [copied_at](const Change& change) {
+    return change.made_at > copied_at;
+  });
+  this->tables.clear();
+  this->version = kept.empty() ? 0 : kept.back().row.version;
+  for (Change& change : kept) {
+    this->Write(change.table, change.row);
+    this->changes.back().made_at = change.made_at;
+  }
+  ++this->current_era;
 }
 
 void EmulatedStore::Await(const std::string& table,
@@ -101,6 +116,14 @@
     this->scheduler.Post(std::move(wake));
 }
 
+TableRows EmulatedStoreAccess::WithEra(TableRows read) {
+  this->known_era = this->store.era();
+  read.version = MakeStoreVersion(this->known_era, read.version);
+  for (StoreRow& row : read.rows)
+    row.version = MakeStoreVersion(this->known_era, row.version);
+  return read;
+}
+
 template <typename Outcome>
 void EmulatedStoreAccess::Deliver(Duration delay,
                                   std::function<void(Outcome)> callback,
@@ -120,8 +143,9 @@
   if (this->fault == Fault::kSilent)
     return this->Deliver<Outcome>(kCallTimeout, did_read,
                                   Error{ErrorCode::kTimeout, "silent"});
-  this->Deliver<Outcome>(kCallTime, did_read,
-                         this->store.Snapshot(std::string(table)));
+  this->Deliver<Outcome>(
+      kCallTime, did_read,
+      this->WithEra(this->store.Snapshot(std::string(table))));
 }
 
 void EmulatedStoreAccess::PollChanges(std::string_view table,
@@ -138,10 +162,17 @@
   auto answer = [this, name, version, is_answered, did_read] {
     if (std::exchange(*is_answered, true))
       return;
-    this->Deliver<Outcome>(kCallTime, did_read,
-                           this->store.ChangesSince(name, version));
+    if (EraOf(version) != this->store.era())
+      return this->Deliver<Outcome>(kCallTime, did_read,
+                                    Error{ErrorCode::kNotFound, "restored"});
+    this->Deliver<Outcome>(
+        kCallTime, did_read,
+        this->WithEra(this->store.ChangesSince(name, NumberOf(version))));
   };
-  if (!this->store.ChangesSince(name, version).rows.empty())
+  const bool has_changes =
+      EraOf(version) != this->store.era() ||
+      !this->store.ChangesSince(name, NumberOf(version)).rows.empty();
+  if (has_changes)
     return answer();
   // The store outlives the process, so the callback must not.
   this->store.Await(name, this->life.Wrap(answer));
@@ -159,6 +190,11 @@
   const Outcome lost = Error{ErrorCode::kTimeout, "no answer"};
   if (this->fault == Fault::kSilent)
     return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
+  for (auto& row : change.expected) {
+    if (row.version != 0 && EraOf(row.version) < this->known_era)
+      return this->Deliver<Outcome>(kCallTime, did_change, ChangeOutcome{});
+    row.version = NumberOf(row.version);
+  }
   const std::string name(table);
   if (this->fault == Fault::kPerformsLate) {
     const auto delay = std::chrono::milliseconds(
@@ -169,7 +205,8 @@
         [store = &this->store, name, change] { store->Apply(name, change); });
     return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
   }
-  const ChangeOutcome outcome = this->store.Apply(name, change);
+  ChangeOutcome outcome = this->store.Apply(name, change);
+  outcome.version = MakeStoreVersion(this->store.era(), outcome.version);
   if (this->fault == Fault::kLosesAnswers)
     return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
   this->Deliver<Outcome>(kCallTime, did_change, outcome);
--- a/Libraries/LibEmulator/emulated_store.h
+++ b/Libraries/LibEmulator/emulated_store.h
@@ -16,7 +16,7 @@
 namespace kingcupmill {
 
 // An in-memory stand-in for the platform's store, which keeps the history of
-// changes.
+// changes. Its own versions are numbers without an era.
 class EmulatedStore {
  public:
   explicit EmulatedStore(Scheduler& scheduler) : scheduler(scheduler) {}
@@ -37,12 +37,18 @@
   // Calls `wake` once, at the next change of `table`.
   void Await(const std::string& table, std::function<void()> wake);
 
+  // Restores the state of `lost` ago and starts a new era. All later changes
+  // are discarded and their versions assigned again.
+  void Restore(Duration lost);
+
   uint64_t newest_version() const { return this->version; }
+  uint64_t era() const { return this->current_era; }
 
  private:
   struct Change {
     std::string table;
     StoreRow row;
+    TimePoint made_at{};
   };
   using Table = std::map<std::string, StoreRow>;
 
@@ -54,6 +60,7 @@
   std::vector<Change> changes;
   std::map<std::string, std::vector<std::function<void()>>> waiting;
   uint64_t version = 0;
+  uint64_t current_era = 1;
 };
 
 // One process's access to the store, with faults.
@@ -95,6 +102,8 @@
               DidChange did_change) override;
 
  private:
+  // Returns `read` with the versions of the store's era.
+  TableRows WithEra(TableRows read);
   template <typename Outcome>
   void Deliver(Duration delay,
                std::function<void(Outcome)> callback,
@@ -106,6 +115,8 @@
   EmulatedTraffic& traffic;
   SeededRandom random;
   Fault fault = Fault::kNone;
+  // The era of the newest answer.
+  uint64_t known_era = 0;
   LifetimeGuard life;
 };
 
--- a/Libraries/LibEmulator/random_faults.cc
+++ b/Libraries/LibEmulator/random_faults.cc
@@ -1,5 +1,9 @@
 #include "LibEmulator/random_faults.h"
 
+#include <algorithm>
+#include <set>
+
+#include "LibCore/random_source.h"
 #include "LibEmulator/emulated_cluster.h"
 
 namespace kingcupmill {
@@ -10,6 +14,10 @@
 // Covers the longest fault, the expiry of a lease and a handover.
 constexpr Duration kRecovery = std::chrono::seconds(32);
 constexpr Duration kMeasuredTime = std::chrono::seconds(3);
+// The ranges of how old a backup of the store is, and how long the store is
+// away before it is restored.
+constexpr uint64_t kMaximumLostMs = 12'000;
+constexpr uint64_t kMaximumAwayMs = 3'000;
 
 }  // namespace
 
@@ -20,8 +28,20 @@
   options.groups = 2;
   EmulatedCluster cluster(options);
   cluster.Start();
+  SeededRandom restore_random(run.seed);
+  std::multiset<int> restore_rounds;
+  for (int restore = 0; restore < run.restores; ++restore)
+    restore_rounds.insert(static_cast<int>(
+        restore_random.Below(static_cast<uint64_t>(std::max(run.rounds, 1)))));
   for (int round = 0; round < run.rounds; ++round) {
     cluster.InjectFault();
+    if (restore_rounds.contains(round)) {
+      const std::chrono::milliseconds lost(
+          restore_random.Below(kMaximumLostMs));
+      const std::chrono::milliseconds away(
+          restore_random.Below(kMaximumAwayMs));
+      cluster.RestoreStore(lost, away);
+    }
     cluster.RunFor(kFaultInterval);
   }
   cluster.HealAll();
--- a/Libraries/LibEmulator/random_faults.h
+++ b/Libraries/LibEmulator/random_faults.h
@@ -25,6 +25,8 @@
   // The number of proxies. If it exceeds the connection limit of a target, some
   // proxies forward their statements to others.
   size_t nodes = 5;
+  // How often the store is restored from a backup, beside the random faults.
+  int restores = 0;
 };
 
 // Injects the faults, heals them all and measures whether writes succeed.
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -44,20 +44,28 @@
     is_snapshot = copy.delta->is_snapshot;
     rows = json::array();
     for (const StoreRow& row : copy.delta->rows.rows)
-      rows.push_back(
-          json::array({row.key, row.value, row.version, row.is_removed}));
+      rows.push_back(json::array(
+          {row.key, row.value, NumberOf(row.version), row.is_removed}));
   }
   json available_for = nullptr;
   if (copy.available_for)
     available_for = copy.available_for->count();
-  return json::array({copy.table, std::move(rows), copy.version,
-                      copy.age.count(), std::move(available_for), is_snapshot});
+  return json::array({copy.table, std::move(rows), NumberOf(copy.version),
+                      copy.age.count(), std::move(available_for), is_snapshot,
+                      EraOf(copy.version)});
+}
+
+// Reads a version whose number and era are at these places of an array. Earlier
+// versions of this program send no era.
+uint64_t VersionFromJson(const json& value, size_t number, size_t era) {
+  return MakeStoreVersion(
+      value.size() > era ? value.at(era).get<uint64_t>() : 0, value.at(number));
 }
 
 TableCopy TableCopyFromJson(const json& value) {
   TableCopy copy;
   copy.table = value.at(0);
-  copy.version = value.at(2);
+  copy.version = VersionFromJson(value, 2, 6);
   copy.age = Duration(value.at(3).get<int64_t>());
   if (const json& available_for = value.at(4); !available_for.is_null())
     copy.available_for = Duration(available_for.get<int64_t>());
@@ -68,20 +76,29 @@
   delta.is_snapshot = value.at(5);
   for (const json& row : value.at(1))
     delta.rows.rows.push_back(
-        StoreRow{row.at(0), row.at(1), row.at(2), row.at(3)});
+        StoreRow{row.at(0), row.at(1),
+                 MakeStoreVersion(EraOf(copy.version), row.at(2)), row.at(3)});
   copy.delta = std::move(delta);
   return copy;
 }
 
 struct EncodeBody {
   json operator()(const StoreCopyQuery& query) const {
-    return json::array({kStoreCopyQuery, query.versions, query.wait.count()});
+    json numbers = json::array();
+    json eras = json::array();
+    for (const uint64_t version : query.versions) {
+      numbers.push_back(NumberOf(version));
+      eras.push_back(EraOf(version));
+    }
+    return json::array({kStoreCopyQuery, std::move(numbers), query.wait.count(),
+                        std::move(eras)});
   }
   json operator()(const ClosePrimaryQuery& query) const {
     const PrimaryRecord& record = query.record;
     return json::array({kClosePrimaryQuery, record.group.value,
                         record.term.value, record.primary.value,
-                        record.is_planned, record.version});
+                        record.is_planned, NumberOf(record.version),
+                        EraOf(record.version)});
   }
   json operator()(const HealthQuery& query) const {
     return json::array({kHealthQuery, query.group.value});
@@ -103,7 +120,8 @@
   json operator()(const StoreChangeQuery& query) const {
     json expected = json::array();
     for (const auto& row : query.change.expected)
-      expected.push_back(json::array({row.key, row.version}));
+      expected.push_back(
+          json::array({row.key, NumberOf(row.version), EraOf(row.version)}));
     json puts = json::array();
     for (const auto& row : query.change.puts)
       puts.push_back(json::array({row.key, row.value}));
@@ -112,7 +130,8 @@
   }
   json operator()(const StoreChangeAnswer& answer) const {
     return json::array({kStoreChangeAnswer, answer.is_answered,
-                        answer.is_applied, answer.version});
+                        answer.is_applied, NumberOf(answer.version),
+                        EraOf(answer.version)});
   }
   json operator()(const BorrowAnswer& answer) const {
     return json::array(
@@ -163,7 +182,8 @@
   json operator()(const PromiseAnswer& answer) const {
     json versions = json::array();
     for (const auto& [group, version] : answer.version_by_group)
-      versions.push_back(json::array({group.value, version}));
+      versions.push_back(
+          json::array({group.value, NumberOf(version), EraOf(version)}));
     return json::array({kPromiseAnswer, answer.incarnation,
                         answer.duration.count(), std::move(versions)});
   }
@@ -200,6 +220,18 @@
   return answer;
 }
 
+StoreCopyQuery StoreCopyQueryFromJson(const json& body) {
+  StoreCopyQuery query;
+  query.versions = body.at(1).get<std::vector<uint64_t>>();
+  query.wait = Duration(body.at(2).get<int64_t>());
+  if (body.size() <= 3)
+    return query;
+  for (size_t index = 0; index < query.versions.size(); ++index)
+    query.versions[index] =
+        MakeStoreVersion(body.at(3).at(index), query.versions[index]);
+  return query;
+}
+
 ClosePrimaryQuery ClosePrimaryQueryFromJson(const json& body) {
   ClosePrimaryQuery query;
   query.record.group.value = body.at(1);
@@ -207,7 +239,7 @@
   query.record.primary.value = body.at(3);
   query.record.state = PrimaryState::kClosing;
   query.record.is_planned = body.at(4);
-  query.record.version = body.at(5);
+  query.record.version = VersionFromJson(body, 5, 6);
   return query;
 }
 
@@ -236,7 +268,7 @@
   answer.duration = Duration(body.at(2).get<int64_t>());
   for (const json& entry : body.at(3))
     answer.version_by_group.emplace(GroupName{entry.at(0)},
-                                    entry.at(1).get<uint64_t>());
+                                    VersionFromJson(entry, 1, 2));
   return answer;
 }
 
@@ -244,7 +276,7 @@
   StoreChangeQuery query;
   query.table = body.at(1);
   for (const json& row : body.at(2))
-    query.change.expected.push_back({row.at(0), row.at(1)});
+    query.change.expected.push_back({row.at(0), VersionFromJson(row, 1, 2)});
   for (const json& row : body.at(3))
     query.change.puts.push_back({row.at(0), row.at(1)});
   query.change.removals = body.at(4).get<std::vector<std::string>>();
@@ -272,9 +304,7 @@
 DecodedPeerMessage MessageFromJson(uint64_t number, const json& body) {
   switch (body.at(0).get<int>()) {
     case kStoreCopyQuery:
-      return NumberedQuery{
-          number, StoreCopyQuery{body.at(1).get<std::vector<uint64_t>>(),
-                                 Duration(body.at(2).get<int64_t>())}};
+      return NumberedQuery{number, StoreCopyQueryFromJson(body)};
     case kClosePrimaryQuery:
       return NumberedQuery{number, ClosePrimaryQueryFromJson(body)};
     case kHealthQuery:
@@ -294,8 +324,9 @@
     case kStoreChangeQuery:
       return NumberedQuery{number, StoreChangeQueryFromJson(body)};
     case kStoreChangeAnswer:
-      return NumberedAnswer{
-          number, StoreChangeAnswer{body.at(1), body.at(2), body.at(3)}};
+      return NumberedAnswer{number,
+                            StoreChangeAnswer{body.at(1), body.at(2),
+                                              VersionFromJson(body, 3, 4)}};
     case kBorrowAnswer:
       return NumberedAnswer{
           number, BorrowAnswer{body.at(1), PointFromJson(body.at(2))}};
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -33,7 +33,7 @@
       query.record.primary.value = "a";
       query.record.state = PrimaryState::kClosing;
       query.record.is_planned = true;
-      query.record.version = 99;
+      query.record.version = MakeStoreVersion(2, 99);
       CHECK(EncodeAndDecode(query).record == query.record);
       const auto answer = EncodeAndDecodeAnswer(
           ClosePrimaryAnswer{true, std::chrono::milliseconds(70)});
@@ -58,12 +58,13 @@
       StoreCopyAnswer sent;
       TableCopy changed;
       changed.table = "t";
-      changed.version = 12;
+      changed.version = MakeStoreVersion(2, 12);
       changed.age = std::chrono::milliseconds(3);
-      changed.delta = TableDelta{TableRows{{StoreRow{"key", "value", 11, false},
-                                            StoreRow{"gone", "", 12, true}},
-                                           12},
-                                 false};
+      changed.delta = TableDelta{
+          TableRows{{StoreRow{"key", "value", MakeStoreVersion(2, 11), false},
+                     StoreRow{"gone", "", MakeStoreVersion(2, 12), true}},
+                    changed.version},
+          false};
       TableCopy unchanged;
       unchanged.table = "u";
       unchanged.version = 5;
@@ -75,6 +76,7 @@
       const StoreCopyAnswer received = EncodeAndDecodeAnswer(sent);
       CHECK(received.held == sent.held);
       REQUIRE(received.tables.size() == 2);
+      CHECK(received.tables[0].version == changed.version);
       CHECK(received.tables[0].delta->rows.rows == changed.delta->rows.rows);
       CHECK_FALSE(received.tables[0].delta->is_snapshot);
       CHECK(received.tables[0].age == changed.age);
@@ -85,15 +87,23 @@
 
     SUBCASE("a change in the store, and its outcome") {
       TableChange change;
-      change.expected.push_back({"duty", 4});
+      change.expected.push_back({"duty", MakeStoreVersion(2, 4)});
       change.puts.push_back({"duty", "mine"});
       change.removals.push_back("old");
       const auto query = EncodeAndDecode(StoreChangeQuery{"t", change});
-      CHECK(query.change.expected[0].version == 4);
+      CHECK(query.change.expected[0].version == MakeStoreVersion(2, 4));
       CHECK(query.change.puts[0].value == "mine");
       CHECK(query.change.removals == change.removals);
-      CHECK(EncodeAndDecodeAnswer(StoreChangeAnswer{true, true, 9}).version ==
-            9);
+      const uint64_t version = MakeStoreVersion(2, 9);
+      CHECK(EncodeAndDecodeAnswer(StoreChangeAnswer{true, true, version})
+                .version == version);
+    }
+
+    SUBCASE("the versions of the copies that a proxy has") {
+      const std::vector<uint64_t> versions = {MakeStoreVersion(2, 7),
+                                              MakeStoreVersion(1, 90), 0};
+      CHECK(EncodeAndDecode(StoreCopyQuery{versions, Duration(0)}).versions ==
+            versions);
     }
 
     SUBCASE("statements over a lent connection") {
--- a/Libraries/LibTables/row_store.h
+++ b/Libraries/LibTables/row_store.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/error.h"
 #include "LibCore/time.h"
+#include "LibTables/store_version.h"
 
 namespace kingcupmill {
 
@@ -17,7 +18,8 @@
 struct StoreRow {
   std::string key;
   std::string value;
-  // The version of the store in which the row was written.
+  // The version of the store in which the row was written, in the era of the
+  // read: a restored row has another version than before.
   uint64_t version = 0;
   // The row was removed in that version. Only set in changes, never in a read
   // of the whole table.
@@ -82,13 +84,15 @@
 
   // Long poll: waits up to `wait` for changes after `version` and returns them,
   // or no rows if there were none. Fails with kNotFound when the store no
-  // longer has the changes since then; the table must then be read as a whole.
+  // longer has the changes since then, or was restored; the table must then be
+  // read as a whole.
   virtual void PollChanges(std::string_view table,
                            uint64_t version,
                            Duration wait,
                            DidRead did_read) = 0;
 
-  // Applies `change` to a table if its conditions hold.
+  // Applies `change` to a table if its conditions hold. A condition on a
+  // version from before the store was restored does not hold.
   virtual void Change(std::string_view table,
                       TableChange change,
                       DidChange did_change) = 0;
--- a/Libraries/LibTables/table_cache.cc
+++ b/Libraries/LibTables/table_cache.cc
@@ -68,8 +68,8 @@
   if (const auto* error = std::get_if<Error>(&outcome)) {
     const bool is_history_lost = error->code == ErrorCode::kNotFound;
     if (is_history_lost) {
-      spdlog::info("event=history_lost table={} version={}",
-                   this->options.table, this->known_version.value_or(0));
+      spdlog::info("event=history_lost table={} number={}", this->options.table,
+                   NumberOf(this->known_version.value_or(0)));
       this->needs_full_read = true;
       pause = Duration(0);
     } else {
@@ -92,6 +92,11 @@
     if (!read.rows.empty())
       pause = this->options.change_pause;
     if (read.version >= this->known_version.value_or(0)) {
+      if (EraOf(read.version) > EraOf(this->known_version.value_or(0))) {
+        // Other writers restore their rows as after an outage.
+        this->available_from = now;
+        this->store_clock = StoreClock();
+      }
       this->Apply(read, is_snapshot);
       this->needs_full_read = false;
       this->newest_read_at =
@@ -99,10 +104,14 @@
                    this->store_clock.MadeAt(sent_at, now, read.store_time));
       this->did_update();
       this->is_behind_logged = false;
-    } else if (!std::exchange(this->is_behind_logged, true)) {
-      spdlog::warn(
-          "event=older_answer_ignored table={} version={} known_version={}",
-          this->options.table, read.version, *this->known_version);
+    } else {
+      if (!std::exchange(this->is_behind_logged, true))
+        spdlog::warn(
+            "event=older_answer_ignored table={} era={} number={} "
+            "known_era={} known_number={}",
+            this->options.table, EraOf(read.version), NumberOf(read.version),
+            EraOf(*this->known_version), NumberOf(*this->known_version));
+      pause = this->options.retry_interval;
     }
   }
   this->scheduler.PostAfter(pause, this->life.Wrap([this, number] {
@@ -151,6 +160,10 @@
 }
 
 void TableCache::Apply(const TableRows& read, bool is_snapshot) {
+  if (this->known_version && EraOf(read.version) > EraOf(*this->known_version))
+    spdlog::warn("event=store_restored table={} era={} number={} known={}",
+                 this->options.table, EraOf(read.version),
+                 NumberOf(read.version), NumberOf(*this->known_version));
   if (is_snapshot) {
     // The rows removed between the previous version and this one are not known.
     this->row_by_key.clear();
--- a/Libraries/LibTables/table_cache_test.cc
+++ b/Libraries/LibTables/table_cache_test.cc
@@ -153,6 +153,46 @@
     CHECK(store.calls.front().is_snapshot);
   }
 
+  // Guards against a copy that ignores a store whose version numbers went back,
+  // and polls it without a pause.
+  SUBCASE("follows a store that was restored from a backup") {
+    const uint64_t restored = MakeStoreVersion(1, 3);
+    store.Fail(ErrorCode::kNotFound);
+    scheduler.RunFor(milliseconds(1));
+    store.Answer(TableRows{{Row("c", restored)}, restored});
+    scheduler.RunFor(milliseconds(1));
+    CHECK(cache.rows().size() == 1);
+    CHECK(cache.rows().contains("c"));
+    REQUIRE(store.calls.size() == 1);
+    CHECK(store.calls.front().after == restored);
+
+    SUBCASE("and counts as available only since then") {
+      CHECK(cache.available_since() == scheduler.Now() - milliseconds(1));
+    }
+
+    SUBCASE("and passes it on to a peer with a copy from before") {
+      const auto delta = cache.ChangesSince(5);
+      REQUIRE(delta.has_value());
+      CHECK(delta->is_snapshot);
+    }
+
+    SUBCASE("and ignores a copy from before in a peer") {
+      cache.ApplyDelta(Whole({Row("old", 900)}, 900), scheduler.Now());
+      CHECK_FALSE(cache.rows().contains("old"));
+    }
+  }
+
+  SUBCASE("pauses after an answer that is older than the copy") {
+    store.Fail(ErrorCode::kNotFound);
+    scheduler.RunFor(milliseconds(1));
+    store.Answer(TableRows{{}, 3});
+    scheduler.RunFor(milliseconds(100));
+    CHECK(cache.rows().size() == 2);
+    CHECK(store.calls.empty());
+    scheduler.RunFor(milliseconds(200));
+    CHECK(store.calls.size() == 1);
+  }
+
   SUBCASE("is never replaced by an older copy from a peer") {
     cache.ApplyDelta(Whole({Row("old", 1)}, 2), scheduler.Now());
     CHECK_FALSE(cache.rows().contains("old"));
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -269,6 +269,12 @@
   emulate->add_option("--seeds", day_count, "Number of seeds")
       ->check(CLI::Range(1, 1'000'000))
       ->capture_default_str();
+  emulate
+      ->add_option("--restores", day.restores,
+                   "Number of times per day that the store is restored from a "
+                   "backup")
+      ->check(CLI::Range(0, 100))
+      ->capture_default_str();
   emulate->add_option("--rounds", day.rounds, "Number of faults per day")
       ->check(CLI::Range(0, 10'000))
       ->capture_default_str();
