--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -728,11 +728,29 @@
   for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10}) {
     CAPTURE(seed);
     const size_t nodes = seed > 8 ? 20 : 5;
-    const RandomFaultReport report = RunRandomFaults({seed, 12, nodes});
+    const RandomFaultReport report = RunRandomFaults({seed, 12, nodes, 0});
     CHECK(report.violations == std::vector<std::string>());
     // Writes succeed again after all faults are healed.
     CHECK(report.writes_after_healing > 30);
   }
 }
 
+TEST_CASE("emulated cluster keeps its guarantees while its store is restored") {
+  for (const uint64_t seed : {11, 12, 13, 14, 15, 16}) {
+    CAPTURE(seed);
+    const size_t nodes = seed > 14 ? 20 : 5;
+    const RandomFaultReport report = RunRandomFaults({seed, 14, nodes, 2});
+    CHECK(report.violations == std::vector<std::string>());
+    CHECK(report.writes_after_healing > 30);
+  }
+
+  // Guards against a group that is refused for good because the proxy that
+  // hands it over is no longer a home and has no connections to its targets.
+  SUBCASE("also when the homes change during a handover") {
+    const RandomFaultReport report = RunRandomFaults({502, 14, 20, 3});
+    CHECK(report.violations == std::vector<std::string>());
+    CHECK(report.writes_after_healing > 30);
+  }
+}
+
 }  // namespace kingcupmill
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -443,6 +443,9 @@
   if (now < this->failover.promised_until())
     chosen.insert(this->home_groups.begin(), this->home_groups.end());
   for (const GroupName& group : this->home_groups) {
+    // A handover needs the connections of a home to finish.
+    if (this->failover.has_handover(group))
+      chosen.insert(group);
     if (chosen.contains(group))
       continue;
     // The lease must end before this proxy's row shows that a failover need not
