LibCoordination: Replace a primary whose entry is gone though it answers

No request is sent to a target without an entry, and the check for silence came first: a target that is not asked is never silent, so the primary was neither used nor replaced.

An entry that is missing from a list of targets that has been read long enough now suffices, as the platform's pages say. The two new cases of the emulated cluster fail on the code before: the primary stays.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -191,12 +191,14 @@
   this->leaving_since.erase(group);
   if (dispatcher.has_primary_reported_read_only())
     return Trigger{Handover::Reason::kLost, Handover::Reopen::kForbidden};
+  // No request is sent to a target without an entry, so that it may never seem
+  // silent.
+  if (entry == targets.end() && this->context.is_directory_current())
+    return Trigger{Handover::Reason::kLost, Handover::Reopen::kAllowed};
   if (silence < kSuspectAfter) {
     this->suspicions.erase(group);
     return std::nullopt;
   }
-  if (entry == targets.end() && this->context.is_directory_current())
-    return Trigger{Handover::Reason::kLost, Handover::Reopen::kAllowed};
   // A proxy that was isolated itself reaches the primary again a little after
   // the replicas, once its broken connections have been replaced.
   if (!dispatcher.has_recent_replica_answer() ||
--- a/Libraries/LibEmulator/emulated_cluster.cc
+++ b/Libraries/LibEmulator/emulated_cluster.cc
@@ -192,7 +192,8 @@
         registers_after += kRegistrationDelay;
       const bool is_registered =
           this->scheduler.Now() >= this->started_at + registers_after;
-      if (target->is_running() && is_registered)
+      if (target->is_running() && is_registered &&
+          !this->expired.contains(target->name()))
         this->PublishTarget(*target, name, this->is_leaving[target->name()]);
     }
   }
@@ -389,6 +390,14 @@
   });
 }
 
+void EmulatedCluster::ExpireTargetEntry(const TargetName& target,
+                                        Duration duration) {
+  this->expired.insert(target);
+  this->emulated_store.Remove(kTargetsTable, target.value);
+  this->scheduler.PostAfter(duration,
+                            [this, target] { this->expired.erase(target); });
+}
+
 void EmulatedCluster::ChangeConfiguration() {
   this->PublishConfiguration();
 }
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,9 @@
   void CrashTarget(const TargetName& target, Duration down);
   // The target announces that it is leaving, ends later and starts again.
   void ReleaseTarget(const TargetName& target);
+  // The entry of a target that keeps running expires in the store and does not
+  // return for `duration`.
+  void ExpireTargetEntry(const TargetName& target, Duration duration);
   void ChangeConfiguration();
   // The store is silent for `away` and comes back without the changes of `lost`
   // before that. Targets and the operator write their rows again.
@@ -123,6 +127,8 @@
   std::vector<std::unique_ptr<EmulatedCaller>> callers;
   std::map<TargetName, int64_t> starts;
   std::map<TargetName, bool> is_leaving;
+  // Targets whose entries are not written.
+  std::set<TargetName> expired;
   std::map<TargetName, TargetEntry> published;
   uint64_t revision = 0;
   // The newest configuration as written to the store.
--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -265,6 +265,30 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  // Guards against a group that is refused for good because its primary never
+  // seems silent once its entry is gone.
+  SUBCASE("replaces a primary whose entry is gone") {
+    cluster.RunFor(std::chrono::seconds(8));
+    const TargetName unlisted = cluster.group(0).leader().name();
+
+    SUBCASE("though it answers") {
+      cluster.ExpireTargetEntry(unlisted, std::chrono::seconds(30));
+      cluster.RunFor(std::chrono::seconds(4));
+    }
+
+    SUBCASE("also by proxies that start afterwards") {
+      cluster.CrashTarget(unlisted, std::chrono::seconds(30));
+      cluster.LosePowerOfAllNodes(std::chrono::milliseconds(4500));
+      cluster.RunFor(std::chrono::seconds(13));
+    }
+
+    CHECK(cluster.group(0).leader().name() != unlisted);
+    const auto before = cluster.TotalCounts().writes_succeeded;
+    cluster.RunFor(std::chrono::seconds(3));
+    CHECK(cluster.TotalCounts().writes_succeeded > before + 20);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE("restored store") {
     // Homes that registered recently may prolong a handover.
     cluster.RunFor(std::chrono::seconds(8));
