LibCoordination: Let a restarted process answer for its predecessor

A process that had not read an earlier era counted as silent, so the recovery waited until the lease of an earlier coordinator and its last order must have ended.

Such a process shows that its predecessor at that address has ended, so only the time of an order in flight has to pass, counted from the start of the process; the targets are asked then. An answer given before a restart in the same era stays valid. A zone that is cut off at the restore still costs the whole wait, since a coordinator there may hold its lease.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -52,6 +52,7 @@
 
 FailoverAgent::FailoverAgent(Context context)
     : context(std::move(context)),
+      started_at(this->context.scheduler.Now()),
       lease(this->context.scheduler,
             this->context.store,
             this->context.view,
@@ -154,6 +155,7 @@
   const CoordinationView& view = this->context.view;
   RecordKnowledge knowledge;
   knowledge.era = view.era();
+  knowledge.process_age = this->context.scheduler.Now() - this->started_at;
   knowledge.has_earlier_era = view.has_earlier_era();
   knowledge.may_have_order = this->lease.may_have_order();
   if (const PrimaryRecord* earlier = view.FindEarlierPrimary(group))
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -122,6 +122,7 @@
   const PrimaryRecord* FindRecord(const GroupName& group) const;
 
   Context context;
+  TimePoint started_at{};
   CoordinatorLease lease;
   std::map<GroupName, std::unique_ptr<Handover>> handovers;
   std::map<GroupName, Suspicion> suspicions;
--- a/Libraries/LibCoordination/record_recovery.cc
+++ b/Libraries/LibCoordination/record_recovery.cc
@@ -18,9 +18,11 @@
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(400);
 // A write without an answer is sent again after this.
 constexpr Duration kWriteRetryInterval = std::chrono::milliseconds(600);
-// The lease of an earlier coordinator and the delay of its last order, as in
-// CoordinatorLease, and the duration of a promotion.
-constexpr Duration kSettlingTime = std::chrono::milliseconds(5400);
+// The last order of a coordinator that has ended arrives within the margin of
+// CoordinatorLease and takes effect within the duration of a promotion.
+constexpr Duration kOrderSettlingTime = std::chrono::milliseconds(2900);
+// As above, for one that may still hold its lease.
+constexpr Duration kLeaseSettlingTime = std::chrono::milliseconds(5400);
 
 }  // namespace
 
@@ -36,10 +38,23 @@
     this->homes_queried_at = now;
     this->QueryHomes();
   }
-  const bool is_complete = this->have_all_answered();
-  if (!is_complete && now < this->context.view.era_seen_at() + kSettlingTime)
+  const CoordinationView& view = this->context.view;
+  // Without a record there was nothing to order.
+  const bool has_restored_record =
+      view.FindRestoredPrimary(this->context.group) != nullptr;
+  const auto remembers = [&](const RecordKnowledge& knowledge) {
+    return knowledge.era == view.era() &&
+           (knowledge.has_earlier_era || !has_restored_record);
+  };
+  const auto is_settled = [&](const RecordKnowledge& knowledge) {
+    return remembers(knowledge) ||
+           (knowledge.era == view.era() &&
+            knowledge.process_age >= kOrderSettlingTime);
+  };
+  if (!this->have_all_answered(is_settled) &&
+      now < view.era_seen_at() + kLeaseSettlingTime)
     return;
-  if (!is_complete || !this->NewestKnown()) {
+  if (!this->have_all_answered(remembers) || !this->NewestKnown()) {
     if (!this->settled_at)
       this->settled_at = now;
     if (now - this->targets_queried_at >= kQueryInterval) {
@@ -65,13 +80,23 @@
               answer ? std::get_if<HealthAnswer>(&*answer) : nullptr;
           if (!health || !health->knowledge)
             return;
-          this->knowledge_by_address[address] = *health->knowledge;
-          this->context.did_receive(address, *health->knowledge);
-          this->Tick();
+          this->DidReceive(address, *health->knowledge);
         }));
   }
 }
 
+void RecordRecovery::DidReceive(const std::string& address,
+                                const RecordKnowledge& knowledge) {
+  this->context.did_receive(address, knowledge);
+  RecordKnowledge& known = this->knowledge_by_address[address];
+  // Its process may have been restarted since it gave up its handovers.
+  const bool is_final =
+      known.has_earlier_era && known.era == this->context.view.era();
+  if (!is_final)
+    known = knowledge;
+  this->Tick();
+}
+
 void RecordRecovery::QueryTargets() {
   for (const TargetEntry& entry : this->context.targets()) {
     const auto connection =
@@ -92,15 +117,8 @@
   }
 }
 
-bool RecordRecovery::have_all_answered() const {
-  const bool has_restored_record =
-      this->context.view.FindRestoredPrimary(this->context.group) != nullptr;
-  // A process that started in the current era does not know what an earlier one
-  // at its address has ordered. Without a record there was nothing to order.
-  const auto is_sufficient = [&](const RecordKnowledge& knowledge) {
-    return knowledge.era == this->context.view.era() &&
-           (knowledge.has_earlier_era || !has_restored_record);
-  };
+template <typename Predicate>
+bool RecordRecovery::have_all_answered(Predicate is_sufficient) const {
   if (!is_sufficient(this->context.own_knowledge()))
     return false;
   const std::set<std::string> homes =
--- a/Libraries/LibCoordination/record_recovery.h
+++ b/Libraries/LibCoordination/record_recovery.h
@@ -25,12 +25,13 @@
 // change that was made since its backup, so that the record in it may name a
 // primary that was replaced.
 // 1. Ask every recent home of the group for the newest record that it knows.
-// One
-//    that answers from the current era has given up its earlier handovers.
-// 2. Wait until all have answered, or until no order of an earlier coordinator
-//    can take effect any more.
-// 3. If a home was silent or no record is known, ask the targets which of them
-//    leads, since a promotion in a later term supersedes every known record.
+//    One that answers from the current era has given up its handovers.
+// 2. Wait until all have answered, or until no order of a silent one can take
+//    effect any more. A process that does not remember an earlier era answers
+//    for its predecessor at that address, whose last order takes effect soon
+//    after its end.
+// 3. Unless all remember the earlier era, ask the targets which of them leads,
+//    since a promotion in a later term supersedes every known record.
 // 4. Write the newest record in the current era.
 class RecordRecovery {
  public:
@@ -60,10 +61,12 @@
 
  private:
   void QueryHomes();
+  void DidReceive(const std::string& address, const RecordKnowledge& knowledge);
   void QueryTargets();
-  // Whether every recent home has answered from the current era and remembers
-  // what it knew before.
-  bool have_all_answered() const;
+  // Whether the knowledge of this proxy and of every other recent home is known
+  // and satisfies `is_sufficient`.
+  template <typename Predicate>
+  bool have_all_answered(Predicate is_sufficient) const;
   bool has_all_reports() const;
   // Returns the newest record known to this proxy and those that answered, else
   // the restored one.
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -108,7 +108,8 @@
   if (knowledge.earlier)
     earlier = ToJson(*knowledge.earlier);
   return json::array({knowledge.era, knowledge.has_earlier_era,
-                      knowledge.may_have_order, std::move(earlier)});
+                      knowledge.may_have_order, std::move(earlier),
+                      knowledge.process_age.count()});
 }
 
 RecordKnowledge RecordKnowledgeFromJson(const json& value) {
@@ -118,6 +119,7 @@
   knowledge.may_have_order = value.at(2);
   if (!value.at(3).is_null())
     knowledge.earlier = PrimaryRecordFromJson(value.at(3));
+  knowledge.process_age = Duration(value.at(4).get<int64_t>());
   return knowledge;
 }
 
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -86,6 +86,8 @@
 struct RecordKnowledge {
   // The era of the store that it has read last.
   uint64_t era = 0;
+  // How long its process has been running.
+  Duration process_age{};
   // Whether it has also read the store in an earlier era.
   bool has_earlier_era = false;
   // Whether an order that it has sent to the promotion authority may still be
