--- a/Libraries/LibArrangement/arrangement_parser.cc
+++ b/Libraries/LibArrangement/arrangement_parser.cc
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "LibCore/port.h"
 #include "LibToml/toml_section.h"
 
 namespace kingcupmill {
@@ -33,9 +34,7 @@
   const size_t colon = address.rfind(':');
   if (colon == std::string_view::npos || colon == 0)
     return false;
-  const std::string_view port = address.substr(colon + 1);
-  return !port.empty() && port.size() <= 5 &&
-         port.find_first_not_of("0123456789") == std::string_view::npos;
+  return ParsePort(address.substr(colon + 1)).value_or(0) != 0;
 }
 
 template <typename NameType>
--- a/Libraries/LibArrangement/arrangement_parser_test.cc
+++ b/Libraries/LibArrangement/arrangement_parser_test.cc
@@ -94,6 +94,12 @@
     CHECK(has_message(ErrorsOf(Replace(kValidDeclarations, "0.1:2", "0.1:1")),
                       "same address"));
   }
+  SUBCASE("a port out of range") {
+    for (const char* address : {"0.0.1:65536\"", "0.0.1:0\"", "0.0.1:\""})
+      CHECK(has_message(
+          ErrorsOf(Replace(kValidDeclarations, "0.0.1:2\"", address)),
+          "IP:port"));
+  }
   SUBCASE("an unknown key") {
     const auto errors =
         ErrorsOf(Replace(kValidDeclarations, "region", "regoin"));
--- a/Libraries/LibWire/line_connection.cc
+++ b/Libraries/LibWire/line_connection.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "LibCore/port.h"
 #include "LibWire/event_loop.h"
 
 namespace kingcupmill {
@@ -43,14 +44,10 @@
   error_code error;
   const auto ip =
       boost::asio::ip::make_address(address.substr(0, colon), error);
-  const std::string port = address.substr(colon + 1);
-  if (error || port.empty() || port.size() > 5 ||
-      port.find_first_not_of("0123456789") != std::string::npos)
+  const auto port = ParsePort(std::string_view(address).substr(colon + 1));
+  if (error || !port)
     return false;
-  const int number = std::stoi(port);
-  if (number > 65535)
-    return false;
-  endpoint = tcp::endpoint(ip, static_cast<uint16_t>(number));
+  endpoint = tcp::endpoint(ip, *port);
   return true;
 }
 
