--- a/Utilities/kingcupmill_soak.cc
+++ b/Utilities/kingcupmill_soak.cc
@@ -72,6 +72,10 @@
   app.add_option("--fault-seconds", fault_seconds,
                  "Duration of the fault injection")
       ->capture_default_str();
+  app.add_option("--restores", options.restores,
+                 "Number of times that the store is restored from a backup")
+      ->check(CLI::Range(0, 100))
+      ->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   options.fault_duration = std::chrono::seconds(fault_seconds);
   kingcupmill::UseJsonLog();
