LibCoordination: Recover at once what the last coordinator knows

A successor must have seen the last write of the coordinator's lease and waited 4 s. If the store was restored earlier, nobody held it since, so that holder knows every change: its answer settles the recovery, and it acquires the lease in the new era at once, unless an order of its own may still be on its way, which is now counted from the order.

--- a/Libraries/LibCoordination/coordination_view_test.cc
+++ b/Libraries/LibCoordination/coordination_view_test.cc
@@ -136,6 +136,32 @@
   CHECK(epoch > 7);
   StoreRow restored = row;
   restored.version = MakeStoreVersion(2, 30);
+
+  SUBCASE("is acquired at once by its last holder") {
+    scheduler.RunFor(milliseconds(3900));
+    view.Update(Rows({restored}), MakeStoreVersion(2, 30), scheduler.Now());
+    CHECK(lease.was_last_holder());
+    CHECK_FALSE(lease.is_held_by_other());
+  }
+
+  SUBCASE("is not acquired by its last holder while its order is on its way") {
+    lease.DidSendOrder();
+    view.Update(Rows({restored}), MakeStoreVersion(2, 30), scheduler.Now());
+    CHECK(lease.may_have_order());
+    CHECK(lease.is_held_by_other());
+    scheduler.RunFor(milliseconds(2500));
+    CHECK_FALSE(lease.is_held_by_other());
+  }
+
+  SUBCASE("is not acquired at once by a proxy that has released it") {
+    lease.Release();
+    view.Update(Rows({restored}), MakeStoreVersion(2, 30), scheduler.Now());
+    CHECK_FALSE(lease.was_last_holder());
+    CHECK(lease.is_held_by_other());
+  }
+
+  // Another proxy may have held it since.
+  scheduler.RunFor(milliseconds(4100));
   view.Update(Rows({restored}), MakeStoreVersion(2, 30), scheduler.Now());
 
   SUBCASE("ends with the era") {
--- a/Libraries/LibCoordination/coordinator_lease.cc
+++ b/Libraries/LibCoordination/coordinator_lease.cc
@@ -17,6 +17,8 @@
 // Minimum interval between two writes, which limits retries while the store
 // rejects them.
 constexpr Duration kWriteInterval = std::chrono::milliseconds(200);
+// The longest timeout of an order and the margin above.
+constexpr Duration kOrderLifetime = std::chrono::milliseconds(2400);
 // The bits of an epoch below the era of the store.
 constexpr unsigned kEpochBits = 32;
 
@@ -42,7 +44,15 @@
 }
 
 bool CoordinatorLease::may_have_order() const {
-  return this->scheduler.Now() < this->latest_held_until + kSuccessorMargin;
+  return this->last_order_at &&
+         this->scheduler.Now() < *this->last_order_at + kOrderLifetime;
+}
+
+bool CoordinatorLease::was_last_holder() const {
+  // A successor must have seen that write and waited as below.
+  return this->held_since && this->held_era != this->view.era() &&
+         this->view.era_seen_at() <
+             *this->held_since + kLeaseLength + kSuccessorMargin;
 }
 
 bool CoordinatorLease::is_held_by_other() const {
@@ -53,6 +63,8 @@
       coordinator.written_era.value_or(this->view.era()) == this->view.era();
   if (!is_row_current) {
     // The restored store may have lost the row that shows the last holder.
+    if (this->was_last_holder() && !this->may_have_order())
+      return false;
     return now < this->view.era_seen_at() + kLeaseLength + kSuccessorMargin &&
            !this->are_earlier_orders_over();
   }
@@ -74,6 +86,8 @@
 void CoordinatorLease::Release() {
   const bool was_held = this->is_held();
   this->held_until = TimePoint{};
+  if (was_held)
+    this->held_since.reset();
   if (was_held && !this->pending_nonce)
     this->Write(false);
 }
@@ -130,7 +144,7 @@
         this->held_epoch = this->pending_epoch;
         this->held_era = this->pending_era;
         this->held_until = this->pending_sent_at + kLeaseLength;
-        this->latest_held_until = this->held_until;
+        this->held_since = this->pending_sent_at;
       }));
 }
 
--- a/Libraries/LibCoordination/coordinator_lease.h
+++ b/Libraries/LibCoordination/coordinator_lease.h
@@ -49,10 +49,16 @@
   bool is_held_for(Duration duration) const;
   bool is_held() const { return this->is_held_for(Duration(0)); }
 
-  // Returns whether an order sent under this lease, in any era, may still be on
-  // its way.
+  // Records that an order is sent under this lease.
+  void DidSendOrder() { this->last_order_at = this->scheduler.Now(); }
+  // Returns whether an order that this proxy has sent, in any era, may still be
+  // on its way.
   bool may_have_order() const;
 
+  // Returns whether no other proxy can have held the lease after this one
+  // before the store was restored.
+  bool was_last_holder() const;
+
   // Returns whether another proxy may still hold the lease.
   bool is_held_by_other() const;
 
@@ -71,8 +77,10 @@
   // The era of the store in which the lease was acquired.
   uint64_t held_era = 0;
   TimePoint held_until{};
-  // As above, also after the lease was released.
-  TimePoint latest_held_until{};
+  // When the newest write was sent that the store has confirmed; nothing once
+  // the lease was released.
+  std::optional<TimePoint> held_since;
+  std::optional<TimePoint> last_order_at;
   // The write in flight; `pending_sent_at` is also the time of the last write.
   std::optional<std::string> pending_nonce;
   uint64_t pending_epoch = 0;
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -158,6 +158,7 @@
   knowledge.process_age = this->context.scheduler.Now() - this->started_at;
   knowledge.has_earlier_era = view.has_earlier_era();
   knowledge.may_have_order = this->lease.may_have_order();
+  knowledge.was_coordinator = this->lease.was_last_holder();
   if (const PrimaryRecord* earlier = view.FindEarlierPrimary(group))
     knowledge.earlier = *earlier;
   const auto interrupted = this->interrupted_records.find(group);
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -665,6 +665,7 @@
       EventLog::Kind::kStateChange,
       "event=promotion_order group={} target={} epoch={}",
       this->old_record.group.value, this->chosen_target.value, order.epoch);
+  this->context.coordinator_lease.DidSendOrder();
   this->context.authority.Promote(
       order, kOrderTimeout, this->life.Wrap([this](PromotionOutcome outcome) {
         this->is_request_pending = false;
--- a/Libraries/LibCoordination/record_recovery.cc
+++ b/Libraries/LibCoordination/record_recovery.cc
@@ -51,10 +51,13 @@
            (knowledge.era == view.era() &&
             knowledge.process_age >= kOrderSettlingTime);
   };
-  if (!this->have_all_answered(is_settled) &&
+  const bool is_known_by_coordinator = this->has_last_coordinator();
+  if (!is_known_by_coordinator && !this->have_all_answered(is_settled) &&
       now < view.era_seen_at() + kLeaseSettlingTime)
     return;
-  if (!this->have_all_answered(remembers) || !this->NewestKnown()) {
+  const bool is_complete =
+      is_known_by_coordinator || this->have_all_answered(remembers);
+  if (!is_complete || !this->NewestKnown()) {
     if (!this->settled_at)
       this->settled_at = now;
     if (now - this->targets_queried_at >= kQueryInterval) {
@@ -133,6 +136,16 @@
       });
 }
 
+bool RecordRecovery::has_last_coordinator() const {
+  return this->context.own_knowledge().was_coordinator ||
+         std::any_of(this->knowledge_by_address.begin(),
+                     this->knowledge_by_address.end(),
+                     [this](const auto& known) {
+                       return known.second.was_coordinator &&
+                              known.second.era == this->context.view.era();
+                     });
+}
+
 bool RecordRecovery::has_all_reports() const {
   const std::vector<TargetEntry> targets = this->context.targets();
   return !targets.empty() &&
--- a/Libraries/LibCoordination/record_recovery.h
+++ b/Libraries/LibCoordination/record_recovery.h
@@ -26,12 +26,14 @@
 // primary that was replaced.
 // 1. Ask every recent home of the group for the newest record that it knows.
 //    One that answers from the current era has given up its handovers.
-// 2. Wait until all have answered, or until no order of a silent one can take
-//    effect any more. A process that does not remember an earlier era answers
-//    for its predecessor at that address, whose last order takes effect soon
-//    after its end.
-// 3. Unless all remember the earlier era, ask the targets which of them leads,
-//    since a promotion in a later term supersedes every known record.
+// 2. Wait until the last coordinator has answered, which knows every change, or
+//    all homes have, or until no order of a silent one can take effect any
+//    more. A process that does not remember an earlier era answers for its
+//    predecessor at that address, whose last order takes effect soon after its
+//    end.
+// 3. Unless the last coordinator or all homes remember the earlier era, ask the
+//    targets which of them leads, since a promotion in a later term supersedes
+//    every known record.
 // 4. Write the newest record in the current era.
 class RecordRecovery {
  public:
@@ -67,6 +69,9 @@
   // and satisfies `is_sufficient`.
   template <typename Predicate>
   bool have_all_answered(Predicate is_sufficient) const;
+  // Whether the last coordinator of the earlier era is among those that have
+  // answered.
+  bool has_last_coordinator() const;
   bool has_all_reports() const;
   // Returns the newest record known to this proxy and those that answered, else
   // the restored one.
--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -349,6 +349,27 @@
       CHECK(FirstViolation(cluster) == "");
     }
 
+    // Guards against a wait for a silent home that the coordinator, which is
+    // alive, makes unnecessary.
+    SUBCASE("during a handover beside a lost proxy, finishes it soon") {
+      cluster.CrashTarget(first, std::chrono::seconds(30));
+      cluster.RunFor(std::chrono::milliseconds(1000));
+      size_t holder = 5;
+      const CoordinatorRecord& coordinator =
+          cluster.node(0).gateway()->coordination_view().coordinator();
+      for (size_t index = 0; index < 5; ++index) {
+        if (coordinator.is_held &&
+            coordinator.holder.value == "vm-" + cluster.node(index).address())
+          holder = index;
+      }
+      REQUIRE(holder < 5);
+      cluster.KillNode((holder + 1) % 5, std::chrono::seconds(30));
+      cluster.RestoreStore(std::chrono::seconds(2), Duration(0));
+      cluster.RunFor(std::chrono::seconds(6));
+      CHECK(cluster.group(0).leader().name() != first);
+      CHECK(FirstViolation(cluster) == "");
+    }
+
     // Guards against a group without a record that is never used again.
     SUBCASE("without any row of the proxies, serves again at once") {
       cluster.RestoreStore(std::chrono::minutes(1), Duration(0));
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -109,7 +109,8 @@
     earlier = ToJson(*knowledge.earlier);
   return json::array({knowledge.era, knowledge.has_earlier_era,
                       knowledge.may_have_order, std::move(earlier),
-                      knowledge.process_age.count()});
+                      knowledge.process_age.count(),
+                      knowledge.was_coordinator});
 }
 
 RecordKnowledge RecordKnowledgeFromJson(const json& value) {
@@ -120,6 +121,7 @@
   if (!value.at(3).is_null())
     knowledge.earlier = PrimaryRecordFromJson(value.at(3));
   knowledge.process_age = Duration(value.at(4).get<int64_t>());
+  knowledge.was_coordinator = value.at(5);
   return knowledge;
 }
 
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -93,6 +93,9 @@
   // Whether an order that it has sent to the promotion authority may still be
   // on its way.
   bool may_have_order = false;
+  // Whether it was the last coordinator before the store was restored, so that
+  // its knowledge is complete.
+  bool was_coordinator = false;
   // The newest record that it has seen in an earlier era.
   std::optional<PrimaryRecord> earlier;
 };
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -60,6 +60,7 @@
       knowledge.era = 3;
       knowledge.has_earlier_era = true;
       knowledge.may_have_order = true;
+      knowledge.was_coordinator = true;
       knowledge.process_age = std::chrono::milliseconds(40);
       PrimaryRecord record;
       record.group.value = "orders";
@@ -77,6 +78,7 @@
       CHECK(received.knowledge->era == 3);
       CHECK(received.knowledge->has_earlier_era);
       CHECK(received.knowledge->may_have_order);
+      CHECK(received.knowledge->was_coordinator);
       CHECK(received.knowledge->process_age == std::chrono::milliseconds(40));
       CHECK(received.knowledge->earlier == record);
     }
