LibCoordination: Compare recovered records by where they were written

Found by reading, no run showed it: the recovery after a restore preferred any record that a proxy remembered to the one in the store. A proxy that had been cut off from the store since before the backup was made could so replace a newer record by its own, when the homes that knew better were gone, and put callers on a superseded primary. And a recovery that began in one era kept the reports of targets when the store was restored again.

Records are now compared by the era and number in which they were written, restored ones included, and a recovery starts anew with each era. The new case of the coordination table shows that order; the rest of the tests pass.

--- a/Libraries/LibCoordination/coordination_view_test.cc
+++ b/Libraries/LibCoordination/coordination_view_test.cc
@@ -93,6 +93,22 @@
     CHECK(view.FindRestoredPrimary(kGroup) == nullptr);
   }
 
+  // Guards against a proxy that was cut off and overwrites a newer record.
+  SUBCASE("may hold a newer record than this proxy has seen") {
+    view.Update(Rows({PrimaryRow("c", 3, MakeStoreVersion(2, 30), 1)}),
+                MakeStoreVersion(2, 35), later);
+    REQUIRE(view.FindRestoredPrimary(kGroup));
+    CHECK(view.FindRestoredPrimary(kGroup)->origin() >
+          view.FindEarlierPrimary(kGroup)->origin());
+
+    SUBCASE("or an older one") {
+      view.Update(Rows({PrimaryRow("a", 1, MakeStoreVersion(2, 4), 1)}),
+                  MakeStoreVersion(2, 36), later);
+      CHECK(view.FindRestoredPrimary(kGroup)->origin() <
+            view.FindEarlierPrimary(kGroup)->origin());
+    }
+  }
+
   SUBCASE("remembers the homes that were registered before") {
     view.Update(Rows({MemberRow("one", MakeStoreVersion(2, 3), 1)}),
                 MakeStoreVersion(2, 9), later);
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -116,7 +116,7 @@
 void FailoverAgent::RecoverRecord(const GroupName& group,
                                   GroupDispatcher& dispatcher) {
   auto& recovery = this->recoveries[group];
-  if (!recovery)
+  if (!recovery || recovery->era() != this->context.view.era())
     recovery = std::make_unique<RecordRecovery>(
         RecordRecovery::Context{
             this->context.scheduler, this->context.store, this->context.view,
--- a/Libraries/LibCoordination/record_recovery.cc
+++ b/Libraries/LibCoordination/record_recovery.cc
@@ -28,6 +28,7 @@
 
 RecordRecovery::RecordRecovery(Context context, Duration delay)
     : context(std::move(context)),
+      recovered_era(this->context.view.era()),
       started_at(this->context.scheduler.Now() + delay) {}
 
 void RecordRecovery::Tick() {
@@ -159,12 +160,14 @@
   std::optional<PrimaryRecord> newest = this->context.own_knowledge().earlier;
   for (const auto& [address, knowledge] : this->knowledge_by_address) {
     if (knowledge.earlier &&
-        (!newest || knowledge.earlier->version > newest->version))
+        (!newest || knowledge.earlier->origin() > newest->origin()))
       newest = knowledge.earlier;
   }
   const PrimaryRecord* restored =
       this->context.view.FindRestoredPrimary(this->context.group);
-  if (!newest && restored)
+  // Those that answered may have been unable to read the store for long before
+  // the backup was made.
+  if (restored && (!newest || restored->origin() > newest->origin()))
     newest = *restored;
   return newest;
 }
--- a/Libraries/LibCoordination/record_recovery.h
+++ b/Libraries/LibCoordination/record_recovery.h
@@ -61,6 +61,10 @@
   // intervals until the view shows a current record.
   void Tick();
 
+  // The era for which this recovery was started. What it has learned does not
+  // hold in a later one.
+  uint64_t era() const { return this->recovered_era; }
+
  private:
   void QueryHomes();
   void DidReceive(const std::string& address, const RecordKnowledge& knowledge);
@@ -73,14 +77,15 @@
   // answered.
   bool has_last_coordinator() const;
   bool has_all_reports() const;
-  // Returns the newest record known to this proxy and those that answered, else
-  // the restored one.
+  // Returns the newest of the records known to this proxy and to those that
+  // answered and of the restored one.
   std::optional<PrimaryRecord> NewestKnown() const;
   // Returns the record to write; nothing while no target is known to lead.
   std::optional<PrimaryRecord> ChooseRecord() const;
   void Write(const PrimaryRecord& record);
 
   Context context;
+  uint64_t recovered_era = 0;
   TimePoint started_at{};
   TimePoint homes_queried_at{};
   TimePoint targets_queried_at{};
--- a/Libraries/LibPrimary/primary_record.h
+++ b/Libraries/LibPrimary/primary_record.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 #include "LibCore/names.h"
 #include "LibTables/store_version.h"
@@ -40,6 +41,13 @@
   bool is_current() const {
     return !this->written_era || *this->written_era == EraOf(this->version);
   }
+
+  // Returns the era and the number of the version in which the row was written,
+  // also for one that was restored. The greater one is the newer record.
+  std::pair<uint64_t, uint64_t> origin() const {
+    return {this->written_era.value_or(EraOf(this->version)),
+            NumberOf(this->version)};
+  }
   friend bool operator==(const PrimaryRecord&, const PrimaryRecord&) = default;
 };
 
