--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -396,6 +396,17 @@
       CHECK(FirstViolation(cluster) == "");
     }
 
+    // Guards against a wait for leases of coordinators that have ended.
+    SUBCASE("after all proxies were killed, serves soon") {
+      cluster.LosePowerOfAllNodes(std::chrono::milliseconds(1500));
+      cluster.RestoreStore(std::chrono::seconds(2), std::chrono::seconds(1));
+      cluster.RunFor(std::chrono::milliseconds(5500));
+      const auto before = cluster.TotalCounts().writes_succeeded;
+      cluster.RunFor(std::chrono::seconds(1));
+      CHECK(cluster.TotalCounts().writes_succeeded > before + 5);
+      CHECK(FirstViolation(cluster) == "");
+    }
+
     // Guards against epochs that are assigned again.
     SUBCASE("starts epochs above all earlier ones") {
       cluster.CrashTarget(first, std::chrono::seconds(6));
