LibEmulator, platform: Check that promotions keep acknowledged commits

A group may now declare synchronous replicas: its primary answers a commit once that many replicas have it, and the checker reports LOST when a target is promoted without an acknowledged commit, or such a commit is acknowledged later. Replicas get their own lag and may report their status slowly, as busy or not at all.

--- a/Libraries/LibEmulator/consistency_checker.cc
+++ b/Libraries/LibEmulator/consistency_checker.cc
@@ -124,10 +124,23 @@
                                     const TargetName& target,
                                     const std::vector<CommitEntry>& log) {
   this->leaders[group] = Leader{target, this->now()};
+  size_t lost = 0;
+  std::string example;
   for (auto& [attempt, commit] : this->commit_by_attempt) {
-    if (commit.group == group && !Contains(log, commit.entry))
-      commit.is_discarded = true;
+    if (commit.group != group || commit.is_discarded ||
+        Contains(log, commit.entry))
+      continue;
+    commit.is_discarded = true;
+    if (!commit.acknowledged_at)
+      continue;
+    ++lost;
+    example = attempt;
   }
+  if (lost > 0 && this->synchronous_groups.contains(group))
+    this->ReportViolation(
+        "LOST", fmt::format("{} was promoted without {} acknowledged commits, "
+                            "one of them {}",
+                            target.value, lost, example));
 }
 
 void ConsistencyChecker::DidAnswer(const std::string& request_id,
@@ -152,6 +165,9 @@
   ++this->acknowledged_count;
   commit.acknowledged_at = this->now();
   this->acknowledged_by_group[commit.group].push_back(attempt);
+  if (commit.is_discarded && this->synchronous_groups.contains(commit.group))
+    this->ReportViolation(
+        "LOST", attempt + " was acknowledged after a promotion discarded it");
   const auto leader = this->leaders.find(commit.group);
   if (leader != this->leaders.end() && leader->second.since < commit.at &&
       leader->second.target != commit.target)
--- a/Libraries/LibEmulator/consistency_checker.h
+++ b/Libraries/LibEmulator/consistency_checker.h
@@ -67,6 +67,11 @@
   void DidCommit(const GroupName& group,
                  const TargetName& target,
                  const CommitEntry& entry);
+  // The group acknowledges a commit only once a replica has it, so that no
+  // promotion may discard it.
+  void DidDeclareSynchronousReplicas(const GroupName& group) {
+    this->synchronous_groups.insert(group);
+  }
   // A promotion took effect; commits of the group that are not in `log` are
   // discarded.
   void DidPromote(const GroupName& group,
@@ -125,6 +130,7 @@
   // Acknowledged commits of each group, in order of acknowledgement.
   std::map<GroupName, std::vector<std::string>> acknowledged_by_group;
   std::map<GroupName, Leader> leaders;
+  std::set<GroupName> synchronous_groups;
   std::set<std::string> reported_not_committed;
   std::map<TargetName, TimePoint> leaving_since;
   Duration longest_leaving_use{};
--- a/Libraries/LibEmulator/emulated_cluster.cc
+++ b/Libraries/LibEmulator/emulated_cluster.cc
@@ -24,6 +24,7 @@
 // How long a leaving target keeps running.
 constexpr Duration kLeavingTime = std::chrono::seconds(8);
 constexpr Duration kRestartDelay = std::chrono::seconds(6);
+constexpr Duration kUsualReplicationLag = std::chrono::milliseconds(20);
 
 // Between the request to stop a proxy and its kill.
 constexpr Duration kStopTimeout = std::chrono::seconds(6);
@@ -92,9 +93,10 @@
       }) {
   for (size_t index = 0; index < options.groups; ++index) {
     const GroupName name{"group-" + std::to_string(index)};
-    this->groups.emplace(name, std::make_unique<EmulatedGroup>(
-                                   this->scheduler, this->consistency_checker,
-                                   name, options.seed * 31 + index));
+    this->groups.emplace(
+        name, std::make_unique<EmulatedGroup>(
+                  this->scheduler, this->consistency_checker, name,
+                  options.seed * 31 + index, options.synchronous_replicas));
   }
   this->AddNodes(options.nodes);
 }
@@ -143,7 +145,9 @@
   RouteTable table;
   table.revision = Revision{++this->revision};
   for (const auto& [name, group] : this->groups) {
-    table.groups[name] = GroupDeclaration{EmulatedTarget::kMaximumSessions, 0};
+    table.groups[name] =
+        GroupDeclaration{EmulatedTarget::kMaximumSessions,
+                         static_cast<int>(this->options.synchronous_replicas)};
     for (const auto kind : {RouteKind::kPrimary, RouteKind::kBoundedStale,
                             RouteKind::kReadYourWrites}) {
       CallerRoute route;
@@ -398,6 +402,26 @@
                             [this, target] { this->expired.erase(target); });
 }
 
+void EmulatedCluster::SlowReplication(const TargetName& target,
+                                      Duration lag,
+                                      Duration duration) {
+  EmulatedGroup& group = *this->groups.at(this->GroupOf(target));
+  group.SetLag(target, lag);
+  this->scheduler.PostAfter(duration, [&group, target] {
+    group.SetLag(target, kUsualReplicationLag);
+  });
+}
+
+void EmulatedCluster::FailStatus(const TargetName& name,
+                                 EmulatedStatusFault fault,
+                                 Duration duration) {
+  EmulatedTarget& target = *this->groups.at(this->GroupOf(name))->Find(name);
+  target.SetStatusFault(fault);
+  this->scheduler.PostAfter(duration, [&target] {
+    target.SetStatusFault(EmulatedStatusFault::kNone);
+  });
+}
+
 void EmulatedCluster::ChangeConfiguration() {
   this->PublishConfiguration();
 }
@@ -418,7 +442,7 @@
 void EmulatedCluster::HealAll() {
   this->partitions.HealAll();
   for (const auto& [name, group] : this->groups) {
-    group->SetLag(std::chrono::milliseconds(20));
+    group->SetLag(kUsualReplicationLag);
   }
   for (const auto& node : this->nodes)
     node->SetStoreFault(EmulatedStoreAccess::Fault::kNone);
@@ -482,7 +506,7 @@
   }
   this->scheduler.PostAfter(duration, [this, own, &chosen] {
     this->partitions.Heal(own);
-    chosen.SetLag(std::chrono::milliseconds(20));
+    chosen.SetLag(kUsualReplicationLag);
   });
 }
 
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -30,6 +30,8 @@
     size_t nodes = 5;
     size_t groups = 1;
     size_t callers = 12;
+    // How many replicas must have a commit before it is acknowledged.
+    size_t synchronous_replicas = 0;
     // The number of places with proxies; targets are in the first three.
     size_t places = 3;
     // Whether proxies start first, as when a whole system starts: the
@@ -79,6 +81,13 @@
   // The entry of a target that keeps running expires in the store and does not
   // return for `duration`.
   void ExpireTargetEntry(const TargetName& target, Duration duration);
+  // Commits reach one replica only after `lag`.
+  void SlowReplication(const TargetName& target,
+                       Duration lag,
+                       Duration duration);
+  void FailStatus(const TargetName& target,
+                  EmulatedStatusFault fault,
+                  Duration duration);
   void ChangeConfiguration();
   // The store is silent for `away` and comes back without the changes of `lost`
   // before that. Targets and the operator write their rows again.
--- a/Libraries/LibEmulator/emulated_group.h
+++ b/Libraries/LibEmulator/emulated_group.h
@@ -22,7 +22,8 @@
   EmulatedGroup(Scheduler& scheduler,
                 ConsistencyChecker& checker,
                 GroupName name,
-                uint64_t seed);
+                uint64_t seed,
+                size_t synchronous_replicas);
 
   const GroupName& name() const { return this->group_name; }
   EmulatedTarget* Find(const TargetName& target);
@@ -37,6 +38,8 @@
 
   // Replicas apply commits that are older than `lag`.
   void SetLag(Duration lag) { this->lag = lag; }
+  // One replica receives commits only when they are older than `lag`.
+  void SetLag(const TargetName& target, Duration lag);
   // The primary reaches no replica while any fault pauses replication. Each
   // pause needs a resume.
   void PauseReplication() { ++this->replication_faults; }
@@ -46,14 +49,19 @@
 
  private:
   void Replicate();
+  // Tells the primary how much of its log enough replicas hold.
+  void Acknowledge();
+  Duration LagOf(const TargetName& target) const;
   void FinishPromotion(size_t index);
 
   Scheduler& scheduler;
   ConsistencyChecker& checker;
   GroupName group_name;
+  size_t synchronous_replicas;
   std::vector<std::unique_ptr<EmulatedTarget>> members;
   size_t leader_index = 0;
   Duration lag = std::chrono::milliseconds(20);
+  std::map<TargetName, Duration> own_lags;
   int replication_faults = 0;
   TimePoint promoted_at{};
   uint64_t promotion_count = 0;
--- a/Libraries/LibEmulator/emulated_target.cc
+++ b/Libraries/LibEmulator/emulated_target.cc
@@ -9,6 +9,8 @@
 
 // The longest time of a statement on a target without slowdown.
 constexpr uint64_t kMaximumStatementMs = 20;
+// How long a target that is slow to report its status takes.
+constexpr Duration kSlowStatusTime = std::chrono::milliseconds(900);
 
 bool is_write(const TargetCommand& command) {
   return command.kind == TargetCommandKind::kExecute
@@ -61,6 +63,7 @@
 
 void EmulatedTarget::Crash() {
   this->running = false;
+  this->unreplicated.clear();
   for (const auto& session : std::exchange(this->sessions, {}))
     session->is_open = false;
 }
@@ -87,10 +90,12 @@
   while (common < this->entries.size() && common < source.size() &&
          this->entries[common] == source[common])
     ++common;
-  if (common < this->entries.size() && this->entries.size() > source.size())
-    this->entries.resize(common);
   if (common < this->entries.size())
     this->entries.resize(common);
+  // The commits that were cut off are never answered.
+  std::erase_if(this->unreplicated, [common](const auto& commit) {
+    return commit.length > common;
+  });
   while (this->entries.size() < std::min(count, source.size()))
     this->entries.push_back(source[this->entries.size()]);
 }
@@ -123,30 +128,67 @@
   this->RunNext(session);
 }
 
+void EmulatedTarget::DidReplicate(size_t length) {
+  std::vector<UnreplicatedCommit> waiting;
+  std::vector<UnreplicatedCommit> replicated;
+  for (UnreplicatedCommit& commit : this->unreplicated)
+    (commit.length <= length ? replicated : waiting)
+        .push_back(std::move(commit));
+  this->unreplicated = std::move(waiting);
+  for (UnreplicatedCommit& commit : replicated) {
+    if (commit.session->is_open)
+      this->Answer(commit.session, std::move(commit.answer));
+  }
+}
+
+Duration EmulatedTarget::DelayOf(const TargetCommand& command) {
+  if (takes_time(command))
+    return Duration(std::chrono::milliseconds(
+               1 + this->random.Below(kMaximumStatementMs))) *
+           this->slowdown;
+  if (command.kind == TargetCommandKind::kStatus &&
+      this->status_fault == EmulatedStatusFault::kSlow)
+    return kSlowStatusTime;
+  return std::chrono::microseconds(100);
+}
+
 void EmulatedTarget::RunNext(const std::shared_ptr<EmulatedSession>& session) {
   if (session->is_busy || session->commands.empty() || !session->is_open)
     return;
   session->is_busy = true;
-  const Duration delay =
-      takes_time(session->commands.front())
-          ? Duration(std::chrono::milliseconds(
-                1 + this->random.Below(kMaximumStatementMs))) *
-                this->slowdown
-          : Duration(std::chrono::microseconds(100));
   // The statement takes effect at the end of the delay.
-  this->scheduler.PostAfter(delay, [this, session] {
-    if (!session->is_open || !this->running)
-      return;
-    const TargetCommand command = std::move(session->commands.front());
-    session->commands.pop_front();
-    session->is_busy = false;
-    StatementAnswer answer = this->Execute(*session, command);
-    answer.state = session->state;
-    answer.position = this->position();
-    if (session->did_answer)
-      session->did_answer(std::move(answer));
-    this->RunNext(session);
-  });
+  this->scheduler.PostAfter(this->DelayOf(session->commands.front()),
+                            [this, session] {
+                              if (session->is_open && this->running)
+                                this->Run(session);
+                            });
+}
+
+void EmulatedTarget::Run(const std::shared_ptr<EmulatedSession>& session) {
+  const TargetCommand command = std::move(session->commands.front());
+  session->commands.pop_front();
+  // The session stays busy, so that it answers nothing more.
+  if (command.kind == TargetCommandKind::kStatus &&
+      this->status_fault == EmulatedStatusFault::kSilent)
+    return;
+  session->committed_length.reset();
+  StatementAnswer answer = this->Execute(*session, command);
+  answer.state = session->state;
+  if (this->has_synchronous_replicas && session->committed_length) {
+    this->unreplicated.push_back(UnreplicatedCommit{
+        session, std::move(answer), *session->committed_length});
+    return;
+  }
+  this->Answer(session, std::move(answer));
+}
+
+void EmulatedTarget::Answer(const std::shared_ptr<EmulatedSession>& session,
+                            StatementAnswer answer) {
+  session->is_busy = false;
+  answer.position = this->position();
+  if (session->did_answer)
+    session->did_answer(std::move(answer));
+  this->RunNext(session);
 }
 
 StatementAnswer EmulatedTarget::Refuse(EmulatedSession& session,
@@ -188,6 +230,9 @@
       this->StepDown(command.term);
       [[fallthrough]];
     case TargetCommandKind::kStatus: {
+      if (command.kind == TargetCommandKind::kStatus &&
+          this->status_fault == EmulatedStatusFault::kBusy)
+        return this->Refuse(session, StatementErrorCode::kBusy);
       StatementAnswer answer;
       answer.report =
           TargetReport{this->leads, this->current_term, this->position()};
@@ -251,7 +296,7 @@
     session.transaction_attempt = attempt;
     session.has_written = session.has_written || is_write(command);
   } else if (is_write(command)) {
-    this->Append(attempt);
+    this->Append(session, attempt);
   }
   return answer;
 }
@@ -268,17 +313,19 @@
   answer.receipt = this->RecordRun(session, command.request_id);
   session.state = SessionState::kIdle;
   if (session.has_written)
-    this->Append(AttemptOf(command.request_id));
+    this->Append(session, AttemptOf(command.request_id));
   session.transaction_attempt.clear();
   return answer;
 }
 
-void EmulatedTarget::Append(const std::string& attempt) {
+void EmulatedTarget::Append(EmulatedSession& session,
+                            const std::string& attempt) {
   CommitEntry entry;
   entry.point =
       LogPoint{this->current_term, Position{this->entries.size() + 1}};
   entry.attempt = attempt;
   this->entries.push_back(entry);
+  session.committed_length = this->entries.size();
   this->checker.DidCommit(this->group, this->target_name, entry);
 }
 
--- a/Libraries/LibEmulator/emulated_target.h
+++ b/Libraries/LibEmulator/emulated_target.h
@@ -34,8 +34,14 @@
   bool is_busy = false;
   // Called with the answer to each command, in order.
   std::function<void(StatementAnswer)> did_answer;
+  // How many entries the log had after the commit of the last command; nothing
+  // if that committed nothing.
+  std::optional<size_t> committed_length;
 };
 
+// How a target answers status commands.
+enum class EmulatedStatusFault { kNone, kSlow, kBusy, kSilent };
+
 // A stand-in for one database server with a log, a role and sessions. It is
 // declared with two slots.
 class EmulatedTarget {
@@ -59,6 +65,12 @@
 
   // Multiplies the time that each later statement takes.
   void SetSlowdown(int factor) { this->slowdown = factor; }
+  void SetStatusFault(EmulatedStatusFault fault) { this->status_fault = fault; }
+
+  // Commits are answered only once that many entries of the log are known to
+  // be held by enough replicas.
+  void RequireReplicas() { this->has_synchronous_replicas = true; }
+  void DidReplicate(size_t length);
 
   void Lead(Term term);
   void StepDown(Term term);
@@ -82,6 +94,10 @@
 
  private:
   void RunNext(const std::shared_ptr<EmulatedSession>& session);
+  void Run(const std::shared_ptr<EmulatedSession>& session);
+  void Answer(const std::shared_ptr<EmulatedSession>& session,
+              StatementAnswer answer);
+  Duration DelayOf(const TargetCommand& command);
   StatementAnswer Execute(EmulatedSession& session,
                           const TargetCommand& command);
   StatementAnswer Begin(EmulatedSession& session, const TargetCommand& command);
@@ -93,7 +109,7 @@
   StatementAnswer Success(const EmulatedSession& session) const;
   std::string RecordRun(EmulatedSession& session,
                         const std::string& request_id);
-  void Append(const std::string& attempt);
+  void Append(EmulatedSession& session, const std::string& attempt);
   bool has(const LogPoint& point) const;
 
   Scheduler& scheduler;
@@ -104,6 +120,15 @@
   bool running = true;
   bool leads = false;
   int slowdown = 1;
+  EmulatedStatusFault status_fault = EmulatedStatusFault::kNone;
+  bool has_synchronous_replicas = false;
+  // An answer to a commit that too few replicas hold.
+  struct UnreplicatedCommit {
+    std::shared_ptr<EmulatedSession> session;
+    StatementAnswer answer;
+    size_t length = 0;
+  };
+  std::vector<UnreplicatedCommit> unreplicated;
   Term current_term{1};
   std::vector<CommitEntry> entries;
   std::set<std::shared_ptr<EmulatedSession>> sessions;
--- a/Libraries/LibEmulator/random_faults.cc
+++ b/Libraries/LibEmulator/random_faults.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <vector>
 
 #include "LibCore/random_source.h"
 #include "LibEmulator/emulated_cluster.h"
@@ -18,6 +19,47 @@
 // away before it is restored.
 constexpr uint64_t kMaximumLostMs = 12'000;
 constexpr uint64_t kMaximumAwayMs = 3'000;
+constexpr uint64_t kMaximumReplicaFaultMs = 6'000;
+constexpr uint64_t kMaximumLagMs = 400;
+constexpr uint64_t kReplicaFaultKinds = 7;
+
+EmulatedTarget& RandomReplica(EmulatedGroup& group, SeededRandom& random) {
+  std::vector<EmulatedTarget*> replicas;
+  for (const auto& target : group.targets()) {
+    if (target.get() != &group.leader())
+      replicas.push_back(target.get());
+  }
+  return *replicas[random.Below(replicas.size())];
+}
+
+// Injects a random fault of one replica, which ends by itself.
+void InjectReplicaFault(EmulatedCluster& cluster,
+                        EmulatedGroup& group,
+                        SeededRandom& random) {
+  EmulatedTarget& replica = RandomReplica(group, random);
+  const std::chrono::milliseconds duration(
+      500 + random.Below(kMaximumReplicaFaultMs));
+  switch (random.Below(kReplicaFaultKinds)) {
+    case 0:
+    case 1:
+      return cluster.SlowReplication(
+          replica.name(),
+          std::chrono::milliseconds(random.Below(kMaximumLagMs)), duration);
+    case 2:
+      return cluster.FailStatus(replica.name(), EmulatedStatusFault::kSlow,
+                                duration);
+    case 3:
+      return cluster.FailStatus(replica.name(), EmulatedStatusFault::kBusy,
+                                duration);
+    case 4:
+      return cluster.FailStatus(replica.name(), EmulatedStatusFault::kSilent,
+                                duration);
+    case 5:
+      return cluster.ReleaseTarget(replica.name());
+    default:
+      return cluster.CrashTarget(replica.name(), duration);
+  }
+}
 
 }  // namespace
 
@@ -26,8 +68,10 @@
   options.seed = run.seed;
   options.nodes = run.nodes;
   options.groups = 2;
+  options.synchronous_replicas = run.synchronous_replicas;
   EmulatedCluster cluster(options);
   cluster.Start();
+  SeededRandom replica_random(run.seed);
   SeededRandom restore_random(run.seed);
   std::multiset<int> restore_rounds;
   for (int restore = 0; restore < run.restores; ++restore)
@@ -35,6 +79,10 @@
         restore_random.Below(static_cast<uint64_t>(std::max(run.rounds, 1)))));
   for (int round = 0; round < run.rounds; ++round) {
     cluster.InjectFault();
+    if (run.synchronous_replicas > 0)
+      InjectReplicaFault(cluster,
+                         cluster.group(replica_random.Below(options.groups)),
+                         replica_random);
     if (restore_rounds.contains(round)) {
       const std::chrono::milliseconds lost(
           restore_random.Below(kMaximumLostMs));
--- a/Libraries/LibEmulator/random_faults.h
+++ b/Libraries/LibEmulator/random_faults.h
@@ -27,6 +27,9 @@
   size_t nodes = 5;
   // How often the store is restored from a backup, beside the random faults.
   int restores = 0;
+  // How many replicas must have a commit before it is acknowledged. If there is
+  // one, random faults of replicas are injected beside the others.
+  size_t synchronous_replicas = 0;
 };
 
 // Injects the faults, heals them all and measures whether writes succeed.
--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -3,6 +3,8 @@
 # each seed: Meta/soak.sh FIRST_SEED COUNT [PROXIES] [FAULT_SECONDS] [PORT]
 # Logs of a seed that failed stay in build/soak; with KEEP_LOGS=1 all logs stay.
 # With RESTORES=N the store is restored from a backup N times during the faults.
+# With SYNC_REPLICAS=N a commit is acknowledged once N replicas have it, and
+# replicas fail too.
 # With OLD_BUILD=FOLDER every second proxy runs the binary of that build folder.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -32,7 +34,8 @@
   mkdir -p "$folder"
   build/kingcupmill-soak --seed "$seed" --proxies "$proxies" --folder "$folder" \
     --fault-seconds "$seconds" --base-port "$port" \
-    --restores "${RESTORES:-0}" >"$folder/soak.log" 2>&1 &
+    --restores "${RESTORES:-0}" --sync-replicas "${SYNC_REPLICAS:-0}" \
+    >"$folder/soak.log" 2>&1 &
   soak=$!
   until [ -e "$folder/ready" ] || ! kill -0 "$soak" 2>/dev/null; do sleep 0.05; done
   keepers=()
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -275,6 +275,11 @@
                    "backup")
       ->check(CLI::Range(0, 100))
       ->capture_default_str();
+  emulate
+      ->add_option("--sync-replicas", day.synchronous_replicas,
+                   "Replicas that must have a commit before it is acknowledged")
+      ->check(CLI::Range(0, 2))
+      ->capture_default_str();
   emulate->add_option("--rounds", day.rounds, "Number of faults per day")
       ->check(CLI::Range(0, 10'000))
       ->capture_default_str();
--- a/Utilities/kingcupmill_soak.cc
+++ b/Utilities/kingcupmill_soak.cc
@@ -76,6 +76,10 @@
                  "Number of times that the store is restored from a backup")
       ->check(CLI::Range(0, 100))
       ->capture_default_str();
+  app.add_option("--sync-replicas", options.synchronous_replicas,
+                 "Replicas that must have a commit before it is acknowledged")
+      ->check(CLI::Range(0, 2))
+      ->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   options.fault_duration = std::chrono::seconds(fault_seconds);
   kingcupmill::UseJsonLog();
