LibCoordination: Promote only a target with every acknowledged commit

Cause: a promotion was decided on the reports that happened to come by 250 ms, from targets listed as ready. The declaration of synchronous replicas was decoded and used nowhere. So a replica that was draining, slow to report, busy, silent or just refused was passed over, though only it held the last commits; and with both replicas draining nobody was promoted at all.

Change: ChooseSuccessor asks every target of the group, whatever its state, and prefers by the end of the log, then by how long the target can lead. A choice is safe if fewer replicas than the group's synchronous ones have not reported, or if its log ends where the old primary's does. An unsafe choice is not ordered; the handover asks on, with timeouts that grow, says once a second which reports are missing, and puts the old primary back into use if it answers that it still leads and nothing was ordered. A target whose promotion was refused or slow is not replaced by the next best, but ordered again once it reports. While it waits, a coordinator that drains or is no home of every group gives up its lease.

Why this works: an acknowledged commit is held by s of R replicas, so R - s + 1 reports include a holder, and logs of one group are prefixes of each other up to the last acknowledged commit.

Without synchronous replicas nothing waits longer than before. Leaving targets are asked there too and are promoted if their log ends further; the next planned handover moves on if there is a ready target to move to, which FailoverAgent now checks. A primary that answers that it leads is also put back into use there when no other target reports.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -47,6 +47,9 @@
 // after this the handover no longer reopens it, however long members take to
 // stop.
 constexpr Duration kPlannedReopenLimit = std::chrono::milliseconds(2500);
+// A target that has been leaving for longer can hardly serve as primary before
+// it takes no more requests.
+constexpr Duration kLeavingSuccessorLimit = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -183,7 +186,14 @@
       targets.begin(), targets.end(),
       [&](const auto& target) { return target.name == record.primary; });
   const Duration silence = dispatcher.PrimarySilence();
-  if (entry != targets.end() && entry->state == TargetState::kLeaving) {
+  const bool has_ready_replica =
+      std::any_of(targets.begin(), targets.end(), [&](const auto& target) {
+        return target.name != record.primary &&
+               target.state == TargetState::kReady;
+      });
+  // A handover to another target that is leaving would only add a gap.
+  if (entry != targets.end() && entry->state == TargetState::kLeaving &&
+      has_ready_replica) {
     const TimePoint since =
         this->leaving_since.try_emplace(group, now).first->second;
     const bool must_replace = now - since > kPlannedReopenLimit;
@@ -309,14 +319,11 @@
       this->context.self_address,
       this->context.lease_terms,
       this->context.release_own_lease,
+      [this, group = record.group] { return this->SuccessorCandidates(group); },
       [this, group = record.group] {
-        std::set<TargetName> names;
-        for (const TargetEntry& target : this->context.targets(group)) {
-          if (target.state == TargetState::kReady)
-            names.insert(target.name);
-        }
-        return names;
+        return this->context.synchronous_replicas(group);
       },
+      [this] { return this->is_draining || this->has_foreign_groups(); },
       this->promised_until_time,
       [this](const std::string& address) { this->context.watch.Bar(address); }};
   this->handovers.emplace(
@@ -324,6 +331,38 @@
                                                trigger.reason, trigger.reopen));
 }
 
+std::vector<SuccessorCandidate> FailoverAgent::SuccessorCandidates(
+    const GroupName& group) const {
+  using Standing = SuccessorCandidate::Standing;
+  const TimePoint now = this->context.scheduler.Now();
+  const GroupDispatcher* dispatcher = this->context.find_group(group);
+  std::vector<SuccessorCandidate> candidates;
+  for (const TargetEntry& target : this->context.targets(group)) {
+    SuccessorCandidate candidate;
+    candidate.name = target.name;
+    if (target.state == TargetState::kLeaving) {
+      const auto since =
+          dispatcher ? dispatcher->LeavingSince(target.name) : std::nullopt;
+      candidate.standing = since && now - *since > kLeavingSuccessorLimit
+                               ? Standing::kEnding
+                               : Standing::kLeaving;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+bool FailoverAgent::has_foreign_groups() const {
+  const std::vector<GroupName> own = this->context.groups();
+  const std::set<GroupName> own_groups(own.begin(), own.end());
+  const auto& members = this->context.view.members();
+  return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+    const std::set<GroupName>& home_of = entry.second.home_of;
+    return !std::includes(own_groups.begin(), own_groups.end(), home_of.begin(),
+                          home_of.end());
+  });
+}
+
 void FailoverAgent::FinishHandovers() {
   const TimePoint now = this->context.scheduler.Now();
   bool did_finish = false;
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -49,6 +49,9 @@
     std::function<GroupDispatcher*(const GroupName&)> find_group;
     // Returns all known targets of a group.
     std::function<std::vector<TargetEntry>(const GroupName&)> targets;
+    // Returns how many replicas of a group receive a commit before it is
+    // acknowledged.
+    std::function<int(const GroupName&)> synchronous_replicas;
     // Returns whether the list of targets has been read reliably for long
     // enough that a target missing from it has really been removed.
     std::function<bool()> is_directory_current;
@@ -114,6 +117,12 @@
   void StartHandover(const PrimaryRecord& record,
                      GroupDispatcher& dispatcher,
                      Trigger trigger);
+  // Returns the targets of the group, without reports.
+  std::vector<SuccessorCandidate> SuccessorCandidates(
+      const GroupName& group) const;
+  // Whether another proxy may need the lease of the coordinator, for a group
+  // that this proxy is no home of.
+  bool has_foreign_groups() const;
   void FinishHandovers();
   // Returns the other homes of the group that are not marked as gone.
   std::vector<std::string> OtherHomes(const GroupName& group) const;
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -27,6 +27,20 @@
 // How long to wait for replicas that have not reported their status before one
 // is chosen without them.
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(250);
+// Timeouts of a status command whose answer decides whether a target may be
+// promoted. They grow with the time in which none has come, so that an
+// overloaded target can answer and a silent connection is replaced early.
+constexpr Duration kShortestReportTimeout = std::chrono::seconds(1);
+constexpr Duration kLongestReportTimeout = std::chrono::seconds(5);
+// Waiting for reports longer than the first is logged, and again at the second
+// interval.
+constexpr Duration kAwaitedReportsLogDelay = std::chrono::milliseconds(300);
+constexpr Duration kAwaitedReportsLogInterval = std::chrono::seconds(1);
+// A handover that waits for reports yields after this.
+constexpr Duration kYieldDelay = std::chrono::seconds(3);
+// Pause before the promotion of a target that holds commits which no other one
+// may hold is ordered again.
+constexpr Duration kReorderDelay = std::chrono::milliseconds(500);
 // Timeout of a promotion order. It is sent only if the lease of the coordinator
 // lasts longer.
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(900);
@@ -366,9 +380,16 @@
       now - this->primary_alive_at < kRecentAnswerAge;
   // A target that is no longer listed as ready has to be replaced even if it
   // answers; one that shuts down as planned can serve a little longer.
-  return has_answered &&
-         (this->reason == Reason::kPlanned ||
-          this->context.candidates().contains(this->old_record.primary));
+  return has_answered && (this->reason == Reason::kPlanned ||
+                          this->is_ready(this->old_record.primary));
+}
+
+bool Handover::is_ready(const TargetName& target) const {
+  const std::vector<SuccessorCandidate> targets = this->context.targets();
+  return std::any_of(targets.begin(), targets.end(), [&](const auto& known) {
+    return known.name == target &&
+           known.standing == SuccessorCandidate::Standing::kReady;
+  });
 }
 
 void Handover::LogAwaitedMembers() {
@@ -483,7 +504,9 @@
         this->life.Wrap([this](std::optional<StatementAnswer> answer) {
           if (!answer || !answer->report)
             return;
-          this->final_point = answer->report->received;
+          this->reports[this->old_record.primary] = *answer->report;
+          if (this->is_complete_log(*answer->report))
+            this->final_point = answer->report->received;
           if (this->step == Step::kStepDown) {
             this->Enter(Step::kChoose);
             this->Tick();
@@ -494,14 +517,34 @@
     this->Enter(Step::kChoose);
 }
 
+void Handover::QueryTargets() {
+  for (const SuccessorCandidate& target : this->context.targets())
+    this->QueryStatus(target.name);
+}
+
 void Handover::QueryStatus(const TargetName& target) {
+  const TimePoint now = this->context.scheduler.Now();
   const auto connection = this->context.group.ControlConnection(target);
   if (!connection)
     return;
+  Duration timeout = kCommandTimeout;
+  if (this->has_synchronous_replicas()) {
+    timeout = std::clamp(this->TimeInStep(), kShortestReportTimeout,
+                         kLongestReportTimeout);
+    // The target may be slow, or the connections to it silent.
+    if (!connection->is_idle()) {
+      const auto last = this->status_queried_at.find(target);
+      if (last != this->status_queried_at.end() &&
+          now - last->second < kCommandTimeout)
+        return;
+      this->context.group.AddControlConnection(target);
+    }
+  }
+  this->status_queried_at[target] = now;
   TargetCommand command;
   command.kind = TargetCommandKind::kStatus;
   connection->Send(
-      std::move(command), kCommandTimeout,
+      std::move(command), timeout,
       this->life.Wrap([this, target](std::optional<StatementAnswer> answer) {
         if (answer && answer->report)
           this->DidReceiveReport(target, *answer);
@@ -517,11 +560,9 @@
   // take effect.
   const bool is_settled =
       !this->has_competing_order || this->TimeInStep() >= kPromotionDuration;
-  // A lost primary may come back under another name and in its old term.
-  const bool leads =
-      report.is_primary && (report.term > this->old_record.term ||
-                            (report.term == this->old_record.term &&
-                             target != this->old_record.primary));
+  // A lost primary may come back under another name and in its old term, and
+  // the order to promote one that still leads changes nothing.
+  const bool leads = report.is_primary && report.term >= this->old_record.term;
   if (this->step == Step::kVerify && target == this->chosen_target &&
       is_settled && leads)
     return this->DidTakeOver(target, report.term);
@@ -548,67 +589,128 @@
     this->chosen_target = ordered;
     return this->Enter(Step::kPromote);
   }
-  const std::set<TargetName> candidates = this->context.candidates();
   if (now - this->queried_at >= kQueryInterval) {
     this->queried_at = now;
-    for (const TargetName& target : candidates) {
-      if (target != this->old_record.primary)
-        this->QueryStatus(target);
-    }
+    this->QueryTargets();
   }
-  const TargetName* best = nullptr;
-  bool has_all_reports = true;
-  for (const TargetName& target : candidates) {
-    if (target == this->old_record.primary ||
-        this->excluded_targets.contains(target))
-      continue;
-    const auto report = this->reports.find(target);
-    if (report == this->reports.end()) {
-      has_all_reports = false;
-      continue;
-    }
-    const auto rank = [](const TargetReport& value) {
-      return std::pair(value.received, value.is_primary);
-    };
-    if (!best || rank(report->second) > rank(this->reports.at(*best)))
-      best = &report->first;
-  }
-  if (!best) {
+  const SuccessorChoice choice = this->Choose();
+  if (!choice.target) {
     // All candidates are excluded; they may have recovered by now.
     if (this->TimeInStep() > kVerifyTimeout)
       this->excluded_targets.clear();
-    return;
+    return this->AwaitReports(choice);
   }
-  const LogPoint received = this->reports.at(*best).received;
-  if (received > this->best_received) {
-    this->best_received = received;
+  if (choice.received > this->best_received) {
+    this->best_received = choice.received;
     this->best_received_at = now;
   }
   const bool has_caught_up =
-      this->final_point && received >= *this->final_point;
+      this->final_point && choice.received >= *this->final_point;
   const bool may_catch_up =
       this->final_point && !has_caught_up &&
       this->TimeInStep() < kCatchUpTimeout &&
       now - this->best_received_at < kCatchUpProgressTimeout;
   const bool should_wait =
-      may_catch_up || (!has_all_reports && this->TimeInStep() < kStatusTimeout);
+      may_catch_up ||
+      (!choice.is_complete && this->TimeInStep() < kStatusTimeout);
   if (should_wait)
     return;
-  this->chosen_target = *best;
+  if (!choice.is_safe)
+    return this->AwaitReports(choice);
+  const auto excluded = this->excluded_targets.find(*choice.target);
+  if (excluded != this->excluded_targets.end() &&
+      now - excluded->second < kReorderDelay)
+    return;
+  this->chosen_target = *choice.target;
   this->context.event_log.Write(
       EventLog::Kind::kStateChange,
       "event=handover_choice group={} target={} received={}.{} final={}.{} "
-      "reports={}",
+      "reports={} missing={} synchronous_replicas={}",
       this->old_record.group.value, this->chosen_target.value,
-      this->reports.at(*best).received.term.value,
-      this->reports.at(*best).received.position.value,
+      choice.received.term.value, choice.received.position.value,
       this->final_point ? this->final_point->term.value : 0,
       this->final_point ? this->final_point->position.value : 0,
-      this->reports.size());
+      this->reports.size(), choice.missing.size(),
+      this->context.synchronous_replicas());
   this->Enter(Step::kRecordChoice);
   this->TickRecordChoice();
 }
 
+SuccessorChoice Handover::Choose() const {
+  const int synchronous_replicas = this->context.synchronous_replicas();
+  std::vector<SuccessorCandidate> candidates;
+  std::optional<SuccessorCandidate> old_primary;
+  for (SuccessorCandidate& candidate : this->context.targets()) {
+    if (const auto report = this->reports.find(candidate.name);
+        report != this->reports.end())
+      candidate.report = report->second;
+    candidate.is_excluded = this->excluded_targets.contains(candidate.name);
+    if (candidate.name != this->old_record.primary)
+      candidates.push_back(std::move(candidate));
+    else if (candidate.report && this->is_complete_log(*candidate.report))
+      old_primary = std::move(candidate);
+  }
+  SuccessorChoice choice =
+      ChooseSuccessor(candidates, synchronous_replicas, this->final_point);
+  if (choice.is_safe || synchronous_replicas == 0 || !old_primary)
+    return choice;
+  // Only the old primary may hold some of the commits.
+  old_primary->is_replica = false;
+  const LogPoint end = old_primary->report->received;
+  candidates.push_back(std::move(*old_primary));
+  return ChooseSuccessor(candidates, synchronous_replicas, end);
+}
+
+bool Handover::is_complete_log(const TargetReport& report) const {
+  const PositionSamples& samples = this->context.group.position_samples();
+  const auto newest_at = samples.newest_at();
+  const auto newest =
+      newest_at ? samples.PositionCovering(*newest_at, Term{}) : std::nullopt;
+  return !newest || report.received >= *newest;
+}
+
+bool Handover::is_old_primary_leading() const {
+  const auto report = this->reports.find(this->old_record.primary);
+  if (report == this->reports.end() || !report->second.is_primary ||
+      report->second.term != this->old_record.term ||
+      !this->old_record.promotion_target.value.empty())
+    return false;
+  const std::vector<SuccessorCandidate> targets = this->context.targets();
+  return std::any_of(targets.begin(), targets.end(), [this](const auto& known) {
+    return known.name == this->old_record.primary &&
+           known.standing > SuccessorCandidate::Standing::kEnding;
+  });
+}
+
+void Handover::AwaitReports(const SuccessorChoice& choice) {
+  if (this->TimeInStep() >= kReopenDelay && this->is_old_primary_leading()) {
+    this->next_record = this->old_record;
+    this->next_record.state = PrimaryState::kServing;
+    return this->Enter(Step::kReopen);
+  }
+  this->LogAwaitedReports(choice);
+  if (this->TimeInStep() >= kYieldDelay && this->context.should_yield())
+    this->Enter(Step::kDone);
+}
+
+void Handover::LogAwaitedReports(const SuccessorChoice& choice) {
+  const TimePoint now = this->context.scheduler.Now();
+  if (this->TimeInStep() < kAwaitedReportsLogDelay ||
+      now - this->awaited_reports_logged_at < kAwaitedReportsLogInterval)
+    return;
+  this->awaited_reports_logged_at = now;
+  std::string missing;
+  for (const TargetName& target : choice.missing)
+    missing += (missing.empty() ? "" : ",") + target.value;
+  this->context.event_log.Write(
+      EventLog::Kind::kStateChange,
+      "event=reports_awaited group={} missing={} for_ms={} furthest={} "
+      "received={}.{} synchronous_replicas={}",
+      this->old_record.group.value, missing, ToMilliseconds(this->TimeInStep()),
+      choice.target ? choice.target->value : "", choice.received.term.value,
+      choice.received.position.value, this->context.synchronous_replicas());
+}
+
 void Handover::TickRecordChoice() {
   const TimePoint now = this->context.scheduler.Now();
   if (this->is_request_pending &&
@@ -680,7 +782,8 @@
           return this->Enter(Step::kVerify);
         if (outcome != PromotionOutcome::kNotRunning)
           return;
-        this->excluded_targets.insert(this->chosen_target);
+        this->excluded_targets[this->chosen_target] =
+            this->context.scheduler.Now();
         this->reports.erase(this->chosen_target);
         this->Enter(Step::kChoose);
       }));
@@ -690,7 +793,7 @@
   const TimePoint now = this->context.scheduler.Now();
   if (this->TimeInStep() > kVerifyTimeout) {
     this->reports.clear();
-    this->excluded_targets.insert(this->chosen_target);
+    this->excluded_targets[this->chosen_target] = now;
     return this->Enter(Step::kChoose);
   }
   if (now - this->queried_at < kQueryInterval)
--- a/Libraries/LibCoordination/handover.h
+++ b/Libraries/LibCoordination/handover.h
@@ -12,6 +12,7 @@
 #include "LibCoordination/coordination_view.h"
 #include "LibCoordination/coordinator_lease.h"
 #include "LibCoordination/promotion_authority.h"
+#include "LibCoordination/successor_choice.h"
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibPeer/peer_links.h"
@@ -34,7 +35,10 @@
 // 4. Wait until every home has stopped using it or can have no lease any more.
 // 5. Step the old primary down if it answers, which ends its log.
 // 6. Choose the replica that has received most of the log. Where the end of the
-//    old primary's log is known, wait for the replica to have received all.
+//    old primary's log is known, wait for the replica to have received all. In
+//    a group with synchronous replicas, wait until one is known to hold every
+//    acknowledged commit; if the old primary answers meanwhile, it is put back
+//    into use.
 // 7. Record the chosen target in the store, so that a successor of this proxy
 //    knows the only target that may have been promoted.
 // 8. Order the promotion.
@@ -59,8 +63,13 @@
     // Releases this proxy's own lease on the primary. Returns false while open
     // requests still use the primary.
     std::function<bool(const PrimaryRecord&)> release_own_lease;
-    // Returns the targets that may be promoted, which are the ready ones.
-    std::function<std::set<TargetName>()> candidates;
+    // Returns the targets of the group, without reports.
+    std::function<std::vector<SuccessorCandidate>()> targets;
+    // Returns how many replicas receive a commit before it is acknowledged.
+    std::function<int()> synchronous_replicas;
+    // Returns whether a handover that waits for reports should end, so that
+    // another proxy can become the coordinator.
+    std::function<bool()> should_yield;
     // Until when a promise of this proxy to start no handover may extend the
     // lease of another one.
     TimePoint promised_until;
@@ -117,6 +126,8 @@
   void TickWaitForMembers();
   void TickStepDown();
   void TickChoose();
+  // Waits because no target is known to hold every acknowledged commit.
+  void AwaitReports(const SuccessorChoice& choice);
   void TickRecordChoice();
   void TickPromote();
   void TickVerify();
@@ -141,6 +152,20 @@
   // Whether the primary is in use again: it still leads and answers.
   bool is_primary_alive() const;
   void LogAwaitedMembers();
+  void LogAwaitedReports(const SuccessorChoice& choice);
+  SuccessorChoice Choose() const;
+  // Whether the report of the old primary shows all that this proxy knows to
+  // be in its log. A process that has lost its log does not.
+  bool is_complete_log(const TargetReport& report) const;
+  bool has_synchronous_replicas() const {
+    return this->context.synchronous_replicas() > 0;
+  }
+  // Whether the target is listed as ready.
+  bool is_ready(const TargetName& target) const;
+  // Whether the old primary has answered that it leads, and no order can have
+  // superseded it.
+  bool is_old_primary_leading() const;
+  void QueryTargets();
   void QueryStatus(const TargetName& target);
   void DidReceiveReport(const TargetName& target,
                         const StatementAnswer& answer);
@@ -167,11 +192,15 @@
   // When each member last answered this handover.
   std::map<std::string, TimePoint> answered_at;
   bool has_logged_awaited = false;
+  TimePoint awaited_reports_logged_at{};
   // When a member last reported that the primary answers it.
   TimePoint primary_alive_at{};
   std::set<std::string> unresponsive;
   std::map<TargetName, TargetReport> reports;
-  std::set<TargetName> excluded_targets;
+  // When each target was last asked for its status.
+  std::map<TargetName, TimePoint> status_queried_at;
+  // When the last order to promote each of these failed.
+  std::map<TargetName, TimePoint> excluded_targets;
   std::optional<LogPoint> final_point;
   // The most that a candidate has received of the old primary's log, and when
   // that last grew.
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -827,6 +827,20 @@
   return connection;
 }
 
+void GroupDispatcher::AddControlConnection(const TargetName& target) {
+  const auto found = this->target_by_name.find(target);
+  if (found != this->target_by_name.end())
+    found->second->pool->Open();
+}
+
+std::optional<TimePoint> GroupDispatcher::LeavingSince(
+    const TargetName& target) const {
+  const auto found = this->target_by_name.find(target);
+  if (found == this->target_by_name.end())
+    return std::nullopt;
+  return found->second->leaving_since;
+}
+
 bool GroupDispatcher::LendConnection(
     const TargetName& target,
     std::shared_ptr<TargetView>& view,
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -95,6 +95,13 @@
   // Returns an open connection for the proxy's own commands to a target, or
   // null. If there is none it starts to open one.
   std::shared_ptr<PooledConnection> ControlConnection(const TargetName& target);
+  // Starts to open one more connection to a target, for the proxy's own
+  // commands, unless the limit forbids it.
+  void AddControlConnection(const TargetName& target);
+
+  // Returns since when the target has been leaving, as far as this proxy knows;
+  // nothing if it is not.
+  std::optional<TimePoint> LeavingSince(const TargetName& target) const;
 
   // Lends a free connection to `target` to another proxy. Returns false when
   // there is none, and starts to open one.
--- /dev/null
+++ b/Libraries/LibEmulator/emulated_synchronous_group_test.cc
@@ -0,0 +1,200 @@
+#include <doctest/doctest.h>
+
+#include "LibEmulator/emulated_cluster.h"
+
+namespace kingcupmill {
+
+namespace {
+
+constexpr Duration kForGood = std::chrono::seconds(60);
+
+std::string FirstViolation(EmulatedCluster& cluster) {
+  const auto& violations = cluster.checker().violations();
+  return violations.empty() ? "" : violations.front();
+}
+
+EmulatedCluster::Options SynchronousOptions() {
+  EmulatedCluster::Options options;
+  options.seed = 5;
+  options.callers = 24;
+  options.synchronous_replicas = 1;
+  return options;
+}
+
+// Returns how many writes succeed in the next two seconds.
+uint64_t WritesSoon(EmulatedCluster& cluster) {
+  const auto before = cluster.TotalCounts().writes_succeeded;
+  cluster.RunFor(std::chrono::seconds(2));
+  return cluster.TotalCounts().writes_succeeded - before;
+}
+
+// The record of the group as the proxies know it.
+const PrimaryRecord& NewestRecord(EmulatedCluster& cluster) {
+  const PrimaryRecord* newest = nullptr;
+  for (size_t index = 0; index < SynchronousOptions().nodes; ++index) {
+    if (!cluster.node(index).gateway())
+      continue;
+    const PrimaryRecord* record =
+        cluster.node(index).gateway()->primary_leases().Find(
+            cluster.group(0).name());
+    if (record && (!newest || record->version > newest->version))
+      newest = record;
+  }
+  REQUIRE(newest);
+  return *newest;
+}
+
+// Returns the index of the proxy that holds the lease of the coordinator.
+size_t Coordinator(EmulatedCluster& cluster) {
+  for (size_t index = 0; index < SynchronousOptions().nodes; ++index) {
+    if (!cluster.node(index).gateway())
+      continue;
+    const CoordinatorRecord& coordinator =
+        cluster.node(index).gateway()->coordination_view().coordinator();
+    if (coordinator.is_held &&
+        coordinator.holder.value == "vm-" + cluster.node(index).address())
+      return index;
+  }
+  FAIL("no proxy is the coordinator");
+  return 0;
+}
+
+// Runs until a target is promoted, for 13 s at most.
+void RunUntilPromotion(EmulatedCluster& cluster) {
+  for (int step = 0; step < 1300 && cluster.group(0).promotions() == 0; ++step)
+    cluster.RunFor(std::chrono::milliseconds(10));
+  REQUIRE(cluster.group(0).promotions() == 1);
+}
+
+// Runs until the coordinator has recorded which target it is about to promote.
+void RunUntilChoice(EmulatedCluster& cluster) {
+  for (int step = 0; step < 4000; ++step) {
+    cluster.RunFor(std::chrono::milliseconds(1));
+    if (!NewestRecord(cluster).promotion_target.value.empty())
+      return;
+  }
+  FAIL("no target was chosen");
+}
+
+}  // namespace
+
+// Guards against promotions that lose commits of a group whose primary
+// acknowledges them once one replica has them.
+TEST_CASE("emulated group with a synchronous replica") {
+  EmulatedCluster cluster(SynchronousOptions());
+  cluster.Start();
+  EmulatedGroup& group = cluster.group(0);
+  const TargetName primary = group.leader().name();
+  const TargetName ahead = group.targets()[1]->name();
+  const TargetName behind = group.targets()[2]->name();
+  group.SetLag(ahead, std::chrono::milliseconds(5));
+  group.SetLag(behind, std::chrono::milliseconds(150));
+  cluster.RunFor(std::chrono::seconds(4));
+  REQUIRE(WritesSoon(cluster) > 20);
+
+  SUBCASE("whose primary crashes") {
+    SUBCASE("promotes the replica that is ahead") {
+      cluster.CrashTarget(primary, kForGood);
+    }
+    SUBCASE("promotes a replica that is ahead and leaving") {
+      cluster.ReleaseTarget(ahead);
+      cluster.RunFor(std::chrono::seconds(2));
+      cluster.CrashTarget(primary, kForGood);
+    }
+    SUBCASE("promotes one of two leaving replicas") {
+      cluster.ReleaseTarget(ahead);
+      cluster.ReleaseTarget(behind);
+      cluster.RunFor(std::chrono::seconds(1));
+      cluster.CrashTarget(primary, kForGood);
+    }
+    SUBCASE("waits for the status of a replica that is slow") {
+      cluster.FailStatus(ahead, EmulatedStatusFault::kSlow, kForGood);
+      cluster.CrashTarget(primary, kForGood);
+    }
+    SUBCASE("waits for the status of a replica that is busy") {
+      cluster.FailStatus(ahead, EmulatedStatusFault::kBusy,
+                         std::chrono::milliseconds(3000));
+      cluster.CrashTarget(primary, kForGood);
+    }
+    SUBCASE("waits for the status of a replica that is silent") {
+      cluster.FailStatus(ahead, EmulatedStatusFault::kSilent,
+                         std::chrono::milliseconds(2500));
+      cluster.CrashTarget(primary, kForGood);
+    }
+    SUBCASE("waits for a crashed replica that is listed") {
+      cluster.CrashTarget(primary, kForGood);
+      cluster.CrashTarget(ahead, std::chrono::milliseconds(3000));
+    }
+    RunUntilPromotion(cluster);
+    CHECK(group.leader().name() == ahead);
+    cluster.RunFor(std::chrono::milliseconds(500));
+    CHECK(WritesSoon(cluster) > 10);
+    cluster.RunFor(std::chrono::seconds(3));
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  SUBCASE("waits for a replica that crashes once it has been chosen") {
+    cluster.CrashTarget(primary, kForGood);
+    RunUntilChoice(cluster);
+    cluster.CrashTarget(ahead, std::chrono::milliseconds(2500));
+
+    SUBCASE("so that the order is refused") {}
+    SUBCASE("and whose promotion another proxy has taken over") {
+      cluster.KillNode(Coordinator(cluster), std::chrono::seconds(1));
+    }
+    cluster.RunFor(std::chrono::milliseconds(2400));
+    CHECK(group.promotions() == 0);
+    cluster.RunFor(std::chrono::milliseconds(7500));
+    CHECK(group.leader().name() == ahead);
+    CHECK(WritesSoon(cluster) > 20);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  SUBCASE("uses the old primary again when it returns before the report") {
+    cluster.FailStatus(ahead, EmulatedStatusFault::kSilent, kForGood);
+    cluster.CrashTarget(primary, std::chrono::milliseconds(3000));
+    cluster.RunFor(std::chrono::milliseconds(5500));
+    CHECK(group.promotions() == 0);
+    CHECK(NewestRecord(cluster).state == PrimaryState::kServing);
+    CHECK(WritesSoon(cluster) > 20);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  SUBCASE("lets another proxy wait when the coordinator is lost") {
+    cluster.FailStatus(ahead, EmulatedStatusFault::kSilent,
+                       std::chrono::milliseconds(8000));
+    cluster.CrashTarget(primary, kForGood);
+    cluster.RunFor(std::chrono::milliseconds(3000));
+    cluster.KillNode(Coordinator(cluster), std::chrono::seconds(1));
+    cluster.RunFor(std::chrono::milliseconds(4500));
+    CHECK(group.promotions() == 0);
+    cluster.RunFor(std::chrono::milliseconds(4500));
+    CHECK(group.leader().name() == ahead);
+    CHECK(WritesSoon(cluster) > 20);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  SUBCASE("hands over from a leaving primary") {
+    SUBCASE("to a replica that is far behind") {
+      group.SetLag(ahead, std::chrono::milliseconds(1500));
+      group.SetLag(behind, std::chrono::milliseconds(1900));
+      cluster.RunFor(std::chrono::seconds(2));
+    }
+    SUBCASE("though a replica does not report") {
+      cluster.FailStatus(ahead, EmulatedStatusFault::kSilent,
+                         std::chrono::milliseconds(2000));
+    }
+    SUBCASE("while a replica leaves too") {
+      cluster.ReleaseTarget(ahead);
+    }
+    cluster.ReleaseTarget(primary);
+    cluster.RunFor(std::chrono::seconds(6));
+    CHECK(group.leader().name() != primary);
+    CHECK(FirstViolation(cluster) == "");
+    cluster.RunFor(std::chrono::seconds(10));
+    CHECK(WritesSoon(cluster) > 5);
+    CHECK(FirstViolation(cluster) == "");
+  }
+}
+
+}  // namespace kingcupmill
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -183,6 +183,9 @@
             return this->FindDispatcher(group);
           },
           [this](const GroupName& group) { return this->TargetsOf(group); },
+          [this](const GroupName& group) {
+            return this->SynchronousReplicasOf(group);
+          },
           [this] {
             const auto since = this->targets.available_since();
             return since && this->dependencies.scheduler.Now() - *since >
@@ -374,6 +377,15 @@
   return entries;
 }
 
+int Gateway::SynchronousReplicasOf(const GroupName& group) const {
+  if (!this->routes)
+    return 0;
+  const auto declared = this->routes->groups.find(group);
+  return declared == this->routes->groups.end()
+             ? 0
+             : declared->second.synchronous_replicas;
+}
+
 ConnectionShares Gateway::SharesOf(const GroupName& group) const {
   const auto declared = this->routes->groups.find(group);
   return ConnectionShares(declared == this->routes->groups.end()
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -164,6 +164,7 @@
   HealthAnswer HandleHealth(const HealthQuery& query);
   std::vector<RelayDialer::Lender> LendersOf(const GroupName& group) const;
   std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
+  int SynchronousReplicasOf(const GroupName& group) const;
   ConnectionShares SharesOf(const GroupName& group) const;
   size_t ConnectionLimit(const GroupName& group) const;
   std::vector<GroupName> RegisteredGroups() const;
