LibCoordination: Count replicas whose entries have expired

Cause: who may have counted toward an acknowledgement was taken from the list of entries in the store. A replica that cannot renew its entry, or that ended a moment ago, is not in it, so its missing report was not noticed; after a restart no proxy knew that it had ever existed.

Change: RosterKeeper keeps a row for each group with synchronous replicas, with all targets that may hold an acknowledged commit alone. A target stays in it when its entry expires. It is removed when it was leaving and another target is listed at its address, to which its log was moved, or when it has not answered for two seconds and every listed target has received all that the primary had committed by then. Handovers ask the targets of the roster too. Groups without synchronous replicas have no row and cost nothing.

Why this works: the row outlives entry and proxies, so the reports that a choice needs are known at any moment; a removed target held nothing that others lack and counts no more.

--- a/Libraries/LibCoordination/Forward.h
+++ b/Libraries/LibCoordination/Forward.h
@@ -12,6 +12,8 @@
 class MemberRegistration;
 class PromotionAuthority;
 class RecordRecovery;
+class RosterKeeper;
+struct ReplicaRoster;
 
 }  // namespace kingcupmill
 
--- a/Libraries/LibCoordination/coordination_view.cc
+++ b/Libraries/LibCoordination/coordination_view.cc
@@ -12,6 +12,30 @@
 
 constexpr std::string_view kMemberPrefix = "member/";
 constexpr std::string_view kPrimaryPrefix = "primary/";
+constexpr std::string_view kRosterPrefix = "replicas/";
+
+json EncodeReplicas(const ReplicaRoster& roster) {
+  json replicas = json::object();
+  for (const auto& [name, replica] : roster.replicas)
+    replicas[name.value] = {{"address", replica.address},
+                            {"place", replica.place.value},
+                            {"leaving", replica.is_leaving}};
+  return replicas;
+}
+
+ReplicaRoster DecodeRoster(const StoreRow& row, const json& value) {
+  ReplicaRoster roster;
+  roster.group.value = row.key.substr(kRosterPrefix.size());
+  roster.version = row.version;
+  for (const auto& [name, entry] : value.at("replicas").items()) {
+    ReplicaRoster::Replica replica;
+    replica.address = entry.at("address");
+    replica.place.value = entry.at("place");
+    replica.is_leaving = entry.at("leaving");
+    roster.replicas.emplace(TargetName{name}, std::move(replica));
+  }
+  return roster;
+}
 
 }  // namespace
 
@@ -23,6 +47,15 @@
   return std::string(kPrimaryPrefix) + group.value;
 }
 
+std::string CoordinationView::RosterKey(const GroupName& group) {
+  return std::string(kRosterPrefix) + group.value;
+}
+
+std::string CoordinationView::Encode(const ReplicaRoster& roster,
+                                     uint64_t era) {
+  return json{{"replicas", EncodeReplicas(roster)}, {"era", era}}.dump();
+}
+
 std::string CoordinationView::Encode(const MemberRecord& member, uint64_t era) {
   json groups = json::array();
   for (const GroupName& group : member.home_of)
@@ -127,6 +160,10 @@
     this->member_by_address.erase(key.substr(kMemberPrefix.size()));
     return;
   }
+  if (key.starts_with(kRosterPrefix)) {
+    this->roster_by_group.erase(GroupName{key.substr(kRosterPrefix.size())});
+    return;
+  }
   if (!key.starts_with(kPrimaryPrefix))
     return;
   const GroupName group{key.substr(kPrimaryPrefix.size())};
@@ -142,6 +179,12 @@
   return found == this->restored_by_group.end() ? nullptr : &found->second;
 }
 
+const ReplicaRoster* CoordinationView::FindRoster(
+    const GroupName& group) const {
+  const auto found = this->roster_by_group.find(group);
+  return found == this->roster_by_group.end() ? nullptr : &found->second;
+}
+
 const PrimaryRecord* CoordinationView::FindEarlierPrimary(
     const GroupName& group) const {
   const auto found = this->earlier_by_group.find(group);
@@ -227,6 +270,11 @@
       this->restored_by_group.insert_or_assign(primary.group, primary);
     return;
   }
+  if (row.key.starts_with(kRosterPrefix)) {
+    ReplicaRoster roster = DecodeRoster(row, value);
+    this->roster_by_group.insert_or_assign(roster.group, roster);
+    return;
+  }
   if (row.key == kCoordinatorKey) {
     CoordinatorRecord coordinator;
     coordinator.holder.value = value.at("holder");
--- a/Libraries/LibCoordination/coordination_view.h
+++ b/Libraries/LibCoordination/coordination_view.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "LibCoordination/replica_roster.h"
 #include "LibCore/names.h"
 #include "LibCore/time.h"
 #include "LibPrimary/primary_record.h"
@@ -68,10 +69,12 @@
 
   static std::string MemberKey(std::string_view address);
   static std::string PrimaryKey(const GroupName& group);
+  static std::string RosterKey(const GroupName& group);
   // `era` is the era of the store that the writer has read last.
   static std::string Encode(const MemberRecord& member, uint64_t era);
   static std::string Encode(const PrimaryRecord& primary, uint64_t era);
   static std::string Encode(const CoordinatorRecord& coordinator, uint64_t era);
+  static std::string Encode(const ReplicaRoster& roster, uint64_t era);
 
   // Decodes the rows that are new or changed since the last call, from a table
   // as of `version`. A malformed row is logged and treated as absent. `now` is
@@ -89,6 +92,9 @@
   // Returns the record that was restored from a backup and not written again
   // since; null if the group has none.
   const PrimaryRecord* FindRestoredPrimary(const GroupName& group) const;
+  // Returns the roster of a group, also one that was restored; null if it has
+  // none.
+  const ReplicaRoster* FindRoster(const GroupName& group) const;
   // Returns the newest record that this proxy has seen in an earlier era; null
   // if there is none.
   const PrimaryRecord* FindEarlierPrimary(const GroupName& group) const;
@@ -138,6 +144,7 @@
   std::vector<PrimaryRecord> primary_records;
   std::map<GroupName, PrimaryRecord> restored_by_group;
   std::map<GroupName, PrimaryRecord> earlier_by_group;
+  std::map<GroupName, ReplicaRoster> roster_by_group;
   // The version and the members that this proxy knew at the end of the previous
   // era.
   std::optional<uint64_t> earlier_version;
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -336,8 +336,18 @@
   using Standing = SuccessorCandidate::Standing;
   const TimePoint now = this->context.scheduler.Now();
   const GroupDispatcher* dispatcher = this->context.find_group(group);
+  const std::vector<TargetEntry> listed = this->context.targets(group);
   std::vector<SuccessorCandidate> candidates;
-  for (const TargetEntry& target : this->context.targets(group)) {
+  for (const TargetEntry& target : listed) {
+    // Its log was moved to the later one when it ended.
+    const bool is_moved =
+        target.state == TargetState::kLeaving &&
+        std::any_of(listed.begin(), listed.end(), [&](const auto& other) {
+          return other.name != target.name && other.address == target.address &&
+                 other.started_at_ms > target.started_at_ms;
+        });
+    if (is_moved)
+      continue;
     SuccessorCandidate candidate;
     candidate.name = target.name;
     if (target.state == TargetState::kLeaving) {
@@ -349,6 +359,12 @@
     }
     candidates.push_back(std::move(candidate));
   }
+  for (const TargetEntry& target : this->context.unlisted_targets(group)) {
+    SuccessorCandidate candidate;
+    candidate.name = target.name;
+    candidate.standing = Standing::kEnding;
+    candidates.push_back(std::move(candidate));
+  }
   return candidates;
 }
 
--- a/Libraries/LibCoordination/failover_agent.h
+++ b/Libraries/LibCoordination/failover_agent.h
@@ -49,6 +49,9 @@
     std::function<GroupDispatcher*(const GroupName&)> find_group;
     // Returns all known targets of a group.
     std::function<std::vector<TargetEntry>(const GroupName&)> targets;
+    // Returns the targets of a group whose entries have expired, but which may
+    // hold commits that no listed target holds.
+    std::function<std::vector<TargetEntry>(const GroupName&)> unlisted_targets;
     // Returns how many replicas of a group receive a commit before it is
     // acknowledged.
     std::function<int(const GroupName&)> synchronous_replicas;
--- a/Libraries/LibDirectory/target_entry.h
+++ b/Libraries/LibDirectory/target_entry.h
@@ -8,8 +8,9 @@
 
 namespace kingcupmill {
 
-// Whether a target accepts new work; kLeaving while it shuts down.
-enum class TargetState { kReady, kLeaving };
+// Whether a target accepts new work: kLeaving while it shuts down, kUnlisted
+// once its entry has expired, when only its log may still be needed.
+enum class TargetState { kReady, kLeaving, kUnlisted };
 
 // A target's own entry in the store.
 struct TargetEntry {
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -341,7 +341,8 @@
     return std::nullopt;
   const auto found = this->target_by_name.find(lease->primary);
   pending.waiting_for = "the primary's entry";
-  if (found == this->target_by_name.end())
+  if (found == this->target_by_name.end() ||
+      found->second->entry.state == TargetState::kUnlisted)
     return std::nullopt;
   TargetView& view = *found->second;
   pending.waiting_for = "the leaving primary";
@@ -879,7 +880,8 @@
   // Connections are opened before statements need them, to keep the cost of
   // opening out of their latency.
   for (const auto& [name, view] : this->target_by_name) {
-    if (view->pool->open_count() + view->pool->opening_count() == 0)
+    if (view->entry.state != TargetState::kUnlisted &&
+        view->pool->open_count() + view->pool->opening_count() == 0)
       view->pool->Open();
   }
   const bool is_due = now - this->last_probed_at >= kProbeInterval &&
@@ -890,7 +892,8 @@
   const bool is_primary_silent = this->PrimarySilence() > 2 * kProbeInterval;
   for (const auto& [name, view] : this->target_by_name) {
     const bool is_primary = name == this->primary_name;
-    if (!is_primary && !is_primary_silent)
+    const bool is_unlisted = view->entry.state == TargetState::kUnlisted;
+    if (is_unlisted || (!is_primary && !is_primary_silent))
       continue;
     if (is_primary && !this->unanswered_since)
       this->unanswered_since = now;
--- a/Libraries/LibEmulator/emulated_synchronous_group_test.cc
+++ b/Libraries/LibEmulator/emulated_synchronous_group_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "LibEmulator/emulated_cluster.h"
+#include "LibEmulator/random_faults.h"
 
 namespace kingcupmill {
 
@@ -133,6 +134,45 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  // Guards against a count of reports that leaves out a server whose entry has
+  // expired.
+  SUBCASE("whose furthest replica has lost its entry") {
+    cluster.ExpireTargetEntry(ahead, kForGood);
+    cluster.RunFor(std::chrono::seconds(5));
+
+    SUBCASE("promotes it") {
+      cluster.CrashTarget(primary, kForGood);
+    }
+    SUBCASE("promotes it, also by proxies that start afterwards") {
+      cluster.CrashTarget(primary, kForGood);
+      cluster.LosePowerOfAllNodes(std::chrono::milliseconds(1500));
+    }
+    RunUntilPromotion(cluster);
+    CHECK(group.leader().name() == ahead);
+    cluster.RunFor(std::chrono::seconds(4));
+    CHECK(group.leader().name() == behind);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  SUBCASE("whose furthest replica has ended") {
+    cluster.CrashTarget(ahead, kForGood);
+
+    SUBCASE("and the other has caught up, promotes that one") {
+      cluster.RunFor(std::chrono::seconds(10));
+      cluster.CrashTarget(primary, kForGood);
+      RunUntilPromotion(cluster);
+      CHECK(group.leader().name() == behind);
+    }
+    SUBCASE("and the other receives nothing, promotes none") {
+      group.SetLag(behind, kForGood);
+      cluster.RunFor(std::chrono::seconds(10));
+      cluster.CrashTarget(primary, kForGood);
+      cluster.RunFor(std::chrono::seconds(6));
+      CHECK(group.promotions() == 0);
+    }
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE("waits for a replica that crashes once it has been chosen") {
     cluster.CrashTarget(primary, kForGood);
     RunUntilChoice(cluster);
@@ -197,4 +237,25 @@
   }
 }
 
+TEST_CASE("emulated groups with synchronous replicas under random faults") {
+  for (const uint64_t seed : {21, 22, 23, 24, 25, 26, 27, 28}) {
+    CAPTURE(seed);
+    const size_t nodes = seed > 26 ? 20 : 5;
+    const RandomFaultReport report = RunRandomFaults({seed, 14, nodes, 0, 1});
+    for (const std::string& violation : report.violations)
+      FAIL_CHECK(violation);
+    CHECK(report.writes_after_healing > 30);
+  }
+}
+
+TEST_CASE("emulated synchronous groups while the store is restored") {
+  for (const uint64_t seed : {31, 32, 33, 34}) {
+    CAPTURE(seed);
+    const RandomFaultReport report = RunRandomFaults({seed, 14, 5, 2, 1});
+    for (const std::string& violation : report.violations)
+      FAIL_CHECK(violation);
+    CHECK(report.writes_after_healing > 30);
+  }
+}
+
 }  // namespace kingcupmill
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -184,16 +184,27 @@
           },
           [this](const GroupName& group) { return this->TargetsOf(group); },
           [this](const GroupName& group) {
-            return this->SynchronousReplicasOf(group);
+            return this->UnlistedTargetsOf(group);
           },
-          [this] {
-            const auto since = this->targets.available_since();
-            return since && this->dependencies.scheduler.Now() - *since >
-                                kTargetsSettledAfter;
+          [this](const GroupName& group) {
+            return this->SynchronousReplicasOf(group);
           },
+          [this] { return this->is_directory_current(); },
           [this](const PrimaryRecord& record) {
             return this->StopPrimary(record);
           }}),
+      roster_keeper(RosterKeeper::Context{
+          dependencies.scheduler, this->store, this->view, this->event_log,
+          this->options.peer_address,
+          [this] { return this->RegisteredGroups(); },
+          [this](const GroupName& group) {
+            return this->FindDispatcher(group);
+          },
+          [this](const GroupName& group) { return this->TargetsOf(group); },
+          [this](const GroupName& group) {
+            return this->SynchronousReplicasOf(group);
+          },
+          [this] { return this->is_directory_current(); }}),
       drain_plan(this->options.drain_limit) {}
 
 Gateway::~Gateway() = default;
@@ -377,6 +388,24 @@
   return entries;
 }
 
+std::vector<TargetEntry> Gateway::UnlistedTargetsOf(
+    const GroupName& group) const {
+  std::vector<TargetEntry> entries;
+  if (this->SynchronousReplicasOf(group) == 0)
+    return entries;
+  for (const auto& [name, replica] : RosterKeeper::Unlisted(
+           this->view.FindRoster(group), this->TargetsOf(group))) {
+    TargetEntry entry;
+    entry.name = name;
+    entry.group = group;
+    entry.address = replica.address;
+    entry.place = replica.place;
+    entry.state = TargetState::kUnlisted;
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
 int Gateway::SynchronousReplicasOf(const GroupName& group) const {
   if (!this->routes)
     return 0;
@@ -505,8 +534,10 @@
           this->dependencies.scheduler,
           TargetDialers{this->dependencies.dialer, this->relay_dialer},
           this->leases, this->event_log, group, this->options.place);
-    dispatcher->SetTargets(this->TargetsOf(group),
-                           this->ConnectionLimit(group));
+    std::vector<TargetEntry> entries = this->TargetsOf(group);
+    std::vector<TargetEntry> unlisted = this->UnlistedTargetsOf(group);
+    entries.insert(entries.end(), unlisted.begin(), unlisted.end());
+    dispatcher->SetTargets(entries, this->ConnectionLimit(group));
   }
 }
 
@@ -516,6 +547,7 @@
     this->dispatchers.at(group)->Tick();
   this->watch.Tick();
   this->failover.Tick();
+  this->roster_keeper.Tick();
   this->copy_server.Tick();
   this->UpdateTableSources();
   this->RequestCopies();
@@ -605,6 +637,12 @@
       }));
 }
 
+bool Gateway::is_directory_current() const {
+  const auto since = this->targets.available_since();
+  return since &&
+         this->dependencies.scheduler.Now() - *since > kTargetsSettledAfter;
+}
+
 bool Gateway::can_read_store() const {
   return this->dependencies.scheduler.Now() - this->coordination.read_at() <
          kPromiseAfter;
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -16,6 +16,7 @@
 #include "LibCoordination/lease_promises.h"
 #include "LibCoordination/member_registration.h"
 #include "LibCoordination/member_watch.h"
+#include "LibCoordination/roster_keeper.h"
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/random_source.h"
 #include "LibCore/scheduler.h"
@@ -146,6 +147,9 @@
   // readers.
   void UpdateTableSources();
   void RequestCopies();
+  // Whether the list of targets has been read reliably for long enough that a
+  // target missing from it has really been removed.
+  bool is_directory_current() const;
   // Whether the coordination table has been read recently, directly or through
   // another proxy.
   bool can_read_store() const;
@@ -164,6 +168,9 @@
   HealthAnswer HandleHealth(const HealthQuery& query);
   std::vector<RelayDialer::Lender> LendersOf(const GroupName& group) const;
   std::vector<TargetEntry> TargetsOf(const GroupName& group) const;
+  // Returns the targets whose entries have expired, but whose logs may be
+  // needed for a promotion.
+  std::vector<TargetEntry> UnlistedTargetsOf(const GroupName& group) const;
   int SynchronousReplicasOf(const GroupName& group) const;
   ConnectionShares SharesOf(const GroupName& group) const;
   size_t ConnectionLimit(const GroupName& group) const;
@@ -214,6 +221,7 @@
   MemberRegistration registration;
   MemberWatch watch;
   FailoverAgent failover;
+  RosterKeeper roster_keeper;
   struct SessionEntry {
     GatewaySession* session = nullptr;
     CallerChannel* channel = nullptr;
