LibCoordination: Wait for the reports that a recovered record rests on

What callers saw (emulated): after a restore of the store that lost the record of a promotion, and a restart of all proxies, reads at the old primary lacked acknowledged commits. A later handover from that record would also discard them.

Cause: as in a handover, the recovered record was decided on the reports that came within 400 ms. If the new primary was slow, busy or silent just then, the restored record was written, though another target already was in a later term.

Change: with synchronous replicas, the recovery waits until no more targets are missing than there are synchronous replicas, and says each second what it waits for. In any group, a report of a term that is later than the newest known record makes that record be written as closing, so that a handover finds the primary. The commands for reports, whose timeouts grow while a decision waits for them, are now sent by StatusQueries for both.

Why this works: a term with an acknowledged commit is known to its primary and to that many replicas, so one of the reporting targets shows it.

--- a/Libraries/LibCoordination/Forward.h
+++ b/Libraries/LibCoordination/Forward.h
@@ -13,6 +13,7 @@
 class PromotionAuthority;
 class RecordRecovery;
 class RosterKeeper;
+class StatusQueries;
 struct ReplicaRoster;
 
 }  // namespace kingcupmill
--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -125,7 +125,13 @@
             this->context.scheduler, this->context.store, this->context.view,
             this->context.peers, this->context.event_log, dispatcher, group,
             this->context.self_address,
-            [this, group] { return this->context.targets(group); },
+            [this, group] {
+              std::vector<TargetEntry> targets = this->context.targets(group);
+              for (TargetEntry& target : this->context.unlisted_targets(group))
+                targets.push_back(std::move(target));
+              return targets;
+            },
+            [this, group] { return this->context.synchronous_replicas(group); },
             [this, group] { return this->KnowledgeOf(group); },
             [this](const std::string& address,
                    const RecordKnowledge& knowledge) {
--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -27,11 +27,6 @@
 // How long to wait for replicas that have not reported their status before one
 // is chosen without them.
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(250);
-// Timeouts of a status command whose answer decides whether a target may be
-// promoted. They grow with the time in which none has come, so that an
-// overloaded target can answer and a silent connection is replaced early.
-constexpr Duration kShortestReportTimeout = std::chrono::seconds(1);
-constexpr Duration kLongestReportTimeout = std::chrono::seconds(5);
 // Waiting for reports longer than the first is logged, and again at the second
 // interval.
 constexpr Duration kAwaitedReportsLogDelay = std::chrono::milliseconds(300);
@@ -85,7 +80,13 @@
       reopen(reopen),
       step_entered_at(this->context.scheduler.Now()),
       started_at(this->context.scheduler.Now()),
-      promised_until(this->context.promised_until) {
+      promised_until(this->context.promised_until),
+      status_queries(
+          this->context.scheduler,
+          this->context.group,
+          [this](const TargetName& target, const TargetReport& report) {
+            this->DidReceiveReport(target, report);
+          }) {
   this->context.event_log.Write(
       EventLog::Kind::kStateChange,
       "event=handover_start group={} term={} primary={} planned={} state={} "
@@ -523,37 +524,15 @@
 }
 
 void Handover::QueryStatus(const TargetName& target) {
-  const TimePoint now = this->context.scheduler.Now();
-  const auto connection = this->context.group.ControlConnection(target);
-  if (!connection)
-    return;
-  Duration timeout = kCommandTimeout;
-  if (this->has_synchronous_replicas()) {
-    timeout = std::clamp(this->TimeInStep(), kShortestReportTimeout,
-                         kLongestReportTimeout);
-    // The target may be slow, or the connections to it silent.
-    if (!connection->is_idle()) {
-      const auto last = this->status_queried_at.find(target);
-      if (last != this->status_queried_at.end() &&
-          now - last->second < kCommandTimeout)
-        return;
-      this->context.group.AddControlConnection(target);
-    }
-  }
-  this->status_queried_at[target] = now;
-  TargetCommand command;
-  command.kind = TargetCommandKind::kStatus;
-  connection->Send(
-      std::move(command), timeout,
-      this->life.Wrap([this, target](std::optional<StatementAnswer> answer) {
-        if (answer && answer->report)
-          this->DidReceiveReport(target, *answer);
-      }));
+  this->status_queries.Send(target,
+                            this->has_synchronous_replicas()
+                                ? StatusQueries::Need::kRequired
+                                : StatusQueries::Need::kUseful,
+                            this->TimeInStep());
 }
 
 void Handover::DidReceiveReport(const TargetName& target,
-                                const StatementAnswer& answer) {
-  const TargetReport& report = *answer.report;
+                                const TargetReport& report) {
   this->reports[target] = report;
   // Only the target recorded in the store may be primary. If another target was
   // ordered before, that is certain only after this promotion has had time to
--- a/Libraries/LibCoordination/handover.h
+++ b/Libraries/LibCoordination/handover.h
@@ -12,6 +12,7 @@
 #include "LibCoordination/coordination_view.h"
 #include "LibCoordination/coordinator_lease.h"
 #include "LibCoordination/promotion_authority.h"
+#include "LibCoordination/status_queries.h"
 #include "LibCoordination/successor_choice.h"
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/scheduler.h"
@@ -167,8 +168,7 @@
   bool is_old_primary_leading() const;
   void QueryTargets();
   void QueryStatus(const TargetName& target);
-  void DidReceiveReport(const TargetName& target,
-                        const StatementAnswer& answer);
+  void DidReceiveReport(const TargetName& target, const TargetReport& report);
   void DidTakeOver(const TargetName& target, Term term);
   const PrimaryRecord* NewestRecord() const;
   Duration TimeInStep() const;
@@ -197,8 +197,6 @@
   TimePoint primary_alive_at{};
   std::set<std::string> unresponsive;
   std::map<TargetName, TargetReport> reports;
-  // When each target was last asked for its status.
-  std::map<TargetName, TimePoint> status_queried_at;
   // When the last order to promote each of these failed.
   std::map<TargetName, TimePoint> excluded_targets;
   std::optional<LogPoint> final_point;
@@ -212,6 +210,7 @@
   // be primary in the newest term.
   bool has_competing_order = false;
   PrimaryRecord next_record;
+  StatusQueries status_queries;
   LifetimeGuard life;
 };
 
--- a/Libraries/LibCoordination/record_recovery.cc
+++ b/Libraries/LibCoordination/record_recovery.cc
@@ -5,7 +5,6 @@
 
 #include "LibDispatch/event_log.h"
 #include "LibDispatch/group_dispatcher.h"
-#include "LibLink/pooled_connection.h"
 
 namespace kingcupmill {
 
@@ -13,9 +12,9 @@
 
 constexpr Duration kQueryInterval = std::chrono::milliseconds(100);
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(400);
-constexpr Duration kCommandTimeout = std::chrono::milliseconds(400);
 // How long to wait for targets that have not reported their status.
 constexpr Duration kStatusTimeout = std::chrono::milliseconds(400);
+constexpr Duration kAwaitedLogInterval = std::chrono::seconds(1);
 // A write without an answer is sent again after this.
 constexpr Duration kWriteRetryInterval = std::chrono::milliseconds(600);
 // The last order of a coordinator that has ended arrives within the margin of
@@ -29,7 +28,14 @@
 RecordRecovery::RecordRecovery(Context context, Duration delay)
     : context(std::move(context)),
       recovered_era(this->context.view.era()),
-      started_at(this->context.scheduler.Now() + delay) {}
+      started_at(this->context.scheduler.Now() + delay),
+      status_queries(
+          this->context.scheduler,
+          this->context.dispatcher,
+          [this](const TargetName& target, const TargetReport& report) {
+            this->reports[target] = report;
+            this->Tick();
+          }) {}
 
 void RecordRecovery::Tick() {
   const TimePoint now = this->context.scheduler.Now();
@@ -63,10 +69,10 @@
       this->settled_at = now;
     if (now - this->targets_queried_at >= kQueryInterval) {
       this->targets_queried_at = now;
-      this->QueryTargets();
+      this->QueryTargets(now - *this->settled_at);
     }
-    if (!this->has_all_reports() && now - *this->settled_at < kStatusTimeout)
-      return;
+    if (!this->has_enough_reports(now))
+      return this->LogAwaitedReports(now);
   }
   if (const auto record = this->ChooseRecord())
     this->Write(*record);
@@ -101,24 +107,12 @@
   this->Tick();
 }
 
-void RecordRecovery::QueryTargets() {
-  for (const TargetEntry& entry : this->context.targets()) {
-    const auto connection =
-        this->context.dispatcher.ControlConnection(entry.name);
-    if (!connection)
-      continue;
-    TargetCommand command;
-    command.kind = TargetCommandKind::kStatus;
-    connection->Send(
-        std::move(command), kCommandTimeout,
-        this->life.Wrap(
-            [this, name = entry.name](std::optional<StatementAnswer> answer) {
-              if (!answer || !answer->report)
-                return;
-              this->reports[name] = *answer->report;
-              this->Tick();
-            }));
-  }
+void RecordRecovery::QueryTargets(Duration waited_for) {
+  const auto need = this->context.synchronous_replicas() > 0
+                        ? StatusQueries::Need::kRequired
+                        : StatusQueries::Need::kUseful;
+  for (const TargetEntry& entry : this->context.targets())
+    this->status_queries.Send(entry.name, need, waited_for);
 }
 
 template <typename Predicate>
@@ -147,13 +141,37 @@
                      });
 }
 
-bool RecordRecovery::has_all_reports() const {
+size_t RecordRecovery::MissingReports() const {
   const std::vector<TargetEntry> targets = this->context.targets();
-  return !targets.empty() &&
-         std::all_of(targets.begin(), targets.end(),
-                     [this](const TargetEntry& entry) {
-                       return this->reports.contains(entry.name);
-                     });
+  return static_cast<size_t>(std::count_if(
+      targets.begin(), targets.end(), [this](const TargetEntry& entry) {
+        return !this->reports.contains(entry.name);
+      }));
+}
+
+bool RecordRecovery::has_enough_reports(TimePoint now) const {
+  const size_t missing = this->MissingReports();
+  if (missing == 0 && !this->reports.empty())
+    return true;
+  if (now - *this->settled_at < kStatusTimeout)
+    return false;
+  // The primary of a term and this many replicas know each acknowledged commit
+  // of the term.
+  const auto synchronous_replicas =
+      static_cast<size_t>(this->context.synchronous_replicas());
+  return synchronous_replicas == 0 || missing <= synchronous_replicas;
+}
+
+void RecordRecovery::LogAwaitedReports(TimePoint now) {
+  if (now - *this->settled_at < kStatusTimeout ||
+      now - this->awaited_logged_at < kAwaitedLogInterval)
+    return;
+  this->awaited_logged_at = now;
+  this->context.event_log.Write(
+      EventLog::Kind::kStateChange,
+      "event=recovery_awaits_reports group={} missing={} reports={} for_ms={}",
+      this->context.group.value, this->MissingReports(), this->reports.size(),
+      ToMilliseconds(now - *this->settled_at));
 }
 
 std::optional<PrimaryRecord> RecordRecovery::NewestKnown() const {
@@ -182,9 +200,24 @@
     chosen->term = report.term;
     chosen->primary = name;
   }
+  // The primary of a later term has not reported.
+  if (const Term newest = this->NewestReportedTerm();
+      chosen && newest > chosen->term) {
+    chosen->term = newest;
+    chosen->state = PrimaryState::kClosing;
+    chosen->is_planned = false;
+    chosen->promotion_target = TargetName{};
+  }
   return chosen;
 }
 
+Term RecordRecovery::NewestReportedTerm() const {
+  Term newest;
+  for (const auto& [name, report] : this->reports)
+    newest = std::max({newest, report.term, report.received.term});
+  return newest;
+}
+
 void RecordRecovery::Write(const PrimaryRecord& record) {
   const TimePoint now = this->context.scheduler.Now();
   const CoordinationView& view = this->context.view;
--- a/Libraries/LibCoordination/record_recovery.h
+++ b/Libraries/LibCoordination/record_recovery.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibCoordination/coordination_view.h"
+#include "LibCoordination/status_queries.h"
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibDirectory/target_entry.h"
@@ -33,8 +34,11 @@
 //    end.
 // 3. Unless the last coordinator or all homes remember the earlier era, ask the
 //    targets which of them leads, since a promotion in a later term supersedes
-//    every known record.
-// 4. Write the newest record in the current era.
+//    every known record. With synchronous replicas, wait for so many reports
+//    that a term with acknowledged commits cannot be missed.
+// 4. Write the newest record in the current era. If a target is in a later term
+//    whose primary has not reported, write it as closing, so that a handover
+//    finds the primary.
 class RecordRecovery {
  public:
   struct Context {
@@ -46,8 +50,10 @@
     GroupDispatcher& dispatcher;
     GroupName group;
     std::string self_address;
-    // Returns all known targets of the group.
+    // Returns all known targets of the group, listed or not.
     std::function<std::vector<TargetEntry>()> targets;
+    // Returns how many replicas receive a commit before it is acknowledged.
+    std::function<int()> synchronous_replicas;
     // Returns what this proxy knows of the record.
     std::function<RecordKnowledge()> own_knowledge;
     std::function<void(const std::string& address, const RecordKnowledge&)>
@@ -68,7 +74,7 @@
  private:
   void QueryHomes();
   void DidReceive(const std::string& address, const RecordKnowledge& knowledge);
-  void QueryTargets();
+  void QueryTargets(Duration waited_for);
   // Whether the knowledge of this proxy and of every other recent home is known
   // and satisfies `is_sufficient`.
   template <typename Predicate>
@@ -76,12 +82,17 @@
   // Whether the last coordinator of the earlier era is among those that have
   // answered.
   bool has_last_coordinator() const;
-  bool has_all_reports() const;
+  size_t MissingReports() const;
+  // Whether the reports of the targets suffice, or no more are waited for.
+  bool has_enough_reports(TimePoint now) const;
+  void LogAwaitedReports(TimePoint now);
   // Returns the newest of the records known to this proxy and to those that
   // answered and of the restored one.
   std::optional<PrimaryRecord> NewestKnown() const;
   // Returns the record to write; nothing while no target is known to lead.
   std::optional<PrimaryRecord> ChooseRecord() const;
+  // Returns the latest term in which a target has reported to be.
+  Term NewestReportedTerm() const;
   void Write(const PrimaryRecord& record);
 
   Context context;
@@ -92,8 +103,10 @@
   // When the targets were first queried.
   std::optional<TimePoint> settled_at;
   TimePoint written_at{};
+  TimePoint awaited_logged_at{};
   std::map<std::string, RecordKnowledge> knowledge_by_address;
   std::map<TargetName, TargetReport> reports;
+  StatusQueries status_queries;
   LifetimeGuard life;
 };
 
--- a/Libraries/LibEmulator/emulated_synchronous_group_test.cc
+++ b/Libraries/LibEmulator/emulated_synchronous_group_test.cc
@@ -214,6 +214,27 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  // Guards against a recovered record that names the old primary because the
+  // report of the new one is missing.
+  SUBCASE("keeps the new primary after a restore that lost its record") {
+    cluster.CrashTarget(primary, std::chrono::seconds(8));
+    RunUntilPromotion(cluster);
+    cluster.RunFor(std::chrono::seconds(2));
+    // The old primary returns and does not hear of the new one.
+    group.PauseReplication();
+    cluster.RunFor(std::chrono::seconds(7));
+    cluster.FailStatus(ahead, EmulatedStatusFault::kSilent,
+                       std::chrono::seconds(6));
+    cluster.LosePowerOfAllNodes(std::chrono::milliseconds(500));
+    cluster.RestoreStore(std::chrono::seconds(11), Duration(0));
+    cluster.RunFor(std::chrono::seconds(9));
+    group.ResumeReplication();
+    cluster.RunFor(std::chrono::seconds(5));
+    CHECK(group.leader().name() == ahead);
+    CHECK(WritesSoon(cluster) > 20);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE("hands over from a leaving primary") {
     SUBCASE("to a replica that is far behind") {
       group.SetLag(ahead, std::chrono::milliseconds(1500));
