LibDispatch, LibCoordination: Let a leaving target lead while there is no other

What callers saw (emulated, and real processes with both replicas draining when the primary crashes): no write was served.

Cause: a leaving primary took new requests for 4 s whether or not another target could replace it, and a planned handover began as soon as any other target was listed as ready, also one that had just crashed.

Evidence: "serves with leaving replicas alone until their drain limit" fails with the 4 s (last use 4.2 s after the announcement), and without the check of the connection it sees three promotions in two seconds.

A proxy that never saw the target ready does not know since when it leaves and keeps to 4 s. A planned handover starts only if a proxy is connected to a ready target.

--- a/Libraries/LibCoordination/failover_agent.cc
+++ b/Libraries/LibCoordination/failover_agent.cc
@@ -195,7 +195,8 @@
   const bool has_ready_replica =
       std::any_of(targets.begin(), targets.end(), [&](const auto& target) {
         return target.name != record.primary &&
-               target.state == TargetState::kReady;
+               target.state == TargetState::kReady &&
+               dispatcher.is_connected(target.name);
       });
   // A handover to another target that is leaving would only add a gap.
   if (entry != targets.end() && entry->state == TargetState::kLeaving &&
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -42,9 +42,11 @@
 constexpr int kMaximumAttempts = 10;
 // The delay before a rejected request is offered to a target again.
 constexpr Duration kRequeueDelay = std::chrono::milliseconds(4);
-// A leaving primary takes new requests for at most this long; by then another
-// target is primary, or the group has none.
+// A leaving primary takes new requests for at most this long if a target that
+// this proxy is connected to can replace it, and otherwise until this margin
+// before its drain limit.
 constexpr Duration kLeavingPrimaryGracePeriod = std::chrono::seconds(4);
+constexpr Duration kDrainMargin = std::chrono::seconds(1);
 // The minimum time without an answer after which a read is sent once more. 9 in
 // 10 reads are answered in a third of it.
 constexpr Duration kMinimumHedgeDelay = std::chrono::milliseconds(120);
@@ -84,13 +86,15 @@
                                  const PrimaryLeases& leases,
                                  EventLog& event_log,
                                  GroupName group,
-                                 PlaceName place)
+                                 PlaceName place,
+                                 Duration target_drain_limit)
     : scheduler(scheduler),
       dialers(dialers),
       leases(leases),
       event_log(event_log),
       group(std::move(group)),
-      place(std::move(place)) {}
+      place(std::move(place)),
+      target_drain_limit(target_drain_limit) {}
 
 GroupDispatcher::~GroupDispatcher() {
   // Unanswered commands hold references to their connections, so close
@@ -140,8 +144,10 @@
     }
     if (entry.state == TargetState::kLeaving && !view->leaving_since)
       view->leaving_since = this->scheduler.Now();
-    if (entry.state == TargetState::kReady)
+    if (entry.state == TargetState::kReady) {
       view->leaving_since.reset();
+      view->was_ready = true;
+    }
     view->pool->SetLimit(maximum_connections);
     next.emplace(entry.name, std::move(view));
   }
@@ -347,7 +353,7 @@
   TargetView& view = *found->second;
   pending.waiting_for = "the leaving primary";
   if (view.leaving_since &&
-      now - *view.leaving_since > kLeavingPrimaryGracePeriod)
+      now - *view.leaving_since > this->LeavingPrimaryLimit(view))
     return std::nullopt;
   pending.waiting_for = "a connection to the primary";
   may_become_available = view.pool->open_count() > 0 ||
@@ -361,6 +367,20 @@
   return TargetChoice{found->second, std::nullopt, lease};
 }
 
+Duration GroupDispatcher::LeavingPrimaryLimit(const TargetView& primary) const {
+  const bool has_ready_target =
+      std::any_of(this->target_by_name.begin(), this->target_by_name.end(),
+                  [](const auto& known) {
+                    return known.second->entry.state == TargetState::kReady &&
+                           known.second->pool->open_count() > 0;
+                  });
+  // A proxy that has never seen the target ready does not know since when it
+  // has been leaving.
+  if (has_ready_target || !primary.was_ready)
+    return kLeavingPrimaryGracePeriod;
+  return this->target_drain_limit - kDrainMargin;
+}
+
 void GroupDispatcher::AddConnections(TargetView& target) {
   // One for each queued request is enough.
   if (target.pool->opening_count() >= this->queue.size())
@@ -828,6 +848,12 @@
   return connection;
 }
 
+bool GroupDispatcher::is_connected(const TargetName& target) const {
+  const auto found = this->target_by_name.find(target);
+  return found != this->target_by_name.end() &&
+         found->second->pool->open_count() > 0;
+}
+
 void GroupDispatcher::AddControlConnection(const TargetName& target) {
   const auto found = this->target_by_name.find(target);
   if (found != this->target_by_name.end())
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -38,7 +38,8 @@
                   const PrimaryLeases& leases,
                   EventLog& event_log,
                   GroupName group,
-                  PlaceName place);
+                  PlaceName place,
+                  Duration target_drain_limit);
   ~GroupDispatcher() override;
 
   // Sets the group's targets and how many connections to one target this proxy
@@ -95,6 +96,8 @@
   // Returns an open connection for the proxy's own commands to a target, or
   // null. If there is none it starts to open one.
   std::shared_ptr<PooledConnection> ControlConnection(const TargetName& target);
+  // Whether a connection to the target is open.
+  bool is_connected(const TargetName& target) const;
   // Starts to open one more connection to a target, for the proxy's own
   // commands, unless the limit forbids it.
   void AddControlConnection(const TargetName& target);
@@ -186,6 +189,8 @@
                           const std::shared_ptr<PooledConnection>& connection);
   void AddConnections(TargetView& target);
   bool is_usable(const TargetView& target) const;
+  // Returns how long a leaving primary takes new requests.
+  Duration LeavingPrimaryLimit(const TargetView& primary) const;
   void PruneRetiredTargets();
 
   Scheduler& scheduler;
@@ -194,6 +199,7 @@
   EventLog& event_log;
   GroupName group;
   PlaceName place;
+  Duration target_drain_limit;
   PositionSamples samples;
   std::map<TargetName, std::shared_ptr<TargetView>> target_by_name;
   // Removed targets that still have connections in use.
--- a/Libraries/LibDispatch/target_view.h
+++ b/Libraries/LibDispatch/target_view.h
@@ -41,6 +41,8 @@
   TimePoint overloaded_until{};
   // When the target was first seen to be leaving.
   std::optional<TimePoint> leaving_since;
+  // Whether this proxy has seen the target ready.
+  bool was_ready = false;
 
  private:
   Duration average_latency;
--- a/Libraries/LibEmulator/emulated_synchronous_group_test.cc
+++ b/Libraries/LibEmulator/emulated_synchronous_group_test.cc
@@ -173,6 +173,24 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  // Guards against a group that refuses every write, though a leaving target
+  // leads it.
+  SUBCASE("serves with leaving replicas alone until their drain limit") {
+    cluster.ReleaseTarget(ahead);
+    cluster.ReleaseTarget(behind);
+    cluster.RunFor(std::chrono::seconds(2));
+    cluster.CrashTarget(primary, kForGood);
+    RunUntilPromotion(cluster);
+    CHECK(group.leader().name() == ahead);
+    CHECK(WritesSoon(cluster) > 5);
+    CHECK(group.promotions() == 1);
+    cluster.RunFor(std::chrono::seconds(4));
+    const Duration used = cluster.checker().longest_use_while_leaving();
+    CHECK(used > std::chrono::seconds(5));
+    CHECK(used < std::chrono::seconds(7));
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE("waits for a replica that crashes once it has been chosen") {
     cluster.CrashTarget(primary, kForGood);
     RunUntilChoice(cluster);
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -533,7 +533,8 @@
       dispatcher = std::make_unique<GroupDispatcher>(
           this->dependencies.scheduler,
           TargetDialers{this->dependencies.dialer, this->relay_dialer},
-          this->leases, this->event_log, group, this->options.place);
+          this->leases, this->event_log, group, this->options.place,
+          this->options.target_drain_limit);
     std::vector<TargetEntry> entries = this->TargetsOf(group);
     std::vector<TargetEntry> unlisted = this->UnlistedTargetsOf(group);
     entries.insert(entries.end(), unlisted.begin(), unlisted.end());
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -61,6 +61,8 @@
     // The grace period: how long after the signal to stop the process is
     // killed.
     Duration drain_limit = std::chrono::seconds(6);
+    // How long a leaving target may be sent new requests.
+    Duration target_drain_limit = std::chrono::seconds(7);
   };
 
   struct Dependencies {
