LibCoordination: Do not reopen a primary that another coordinator replaces

Cause: the write that puts an old primary back into use expected the newest version seen, not the one on which it was decided. A coordinator whose first write was lost, and that was away while another one ordered a promotion, could have reopened the old primary beside its successor. The path was reached only from the wait for members; the wait for reports now takes it more often.

Change: if the newest record names a target whose promotion was ordered, the handover ends instead. Found by reading; no test or run shows the fault (it needs a lost write, a pause and a takeover), and none notices that the check is switched off.

--- a/Libraries/LibCoordination/handover.cc
+++ b/Libraries/LibCoordination/handover.cc
@@ -784,8 +784,12 @@
 void Handover::TickRecordPrimary(const PrimaryRecord& wanted) {
   const TimePoint now = this->context.scheduler.Now();
   const PrimaryRecord* newest = this->NewestRecord();
+  // Another coordinator may have ordered a promotion since it was decided to
+  // use the old primary again.
+  const bool is_superseded = newest && this->step == Step::kReopen &&
+                             !newest->promotion_target.value.empty();
   if (newest && newest->version > this->old_record.version &&
-      newest->state == PrimaryState::kServing)
+      (newest->state == PrimaryState::kServing || is_superseded))
     return this->Enter(Step::kDone);
   if (this->is_request_pending &&
       now - this->request_sent_at < kStoreRetryInterval)
