--- a/Libraries/LibEmulator/emulated_group.cc
+++ b/Libraries/LibEmulator/emulated_group.cc
@@ -49,7 +49,7 @@
 void EmulatedGroup::Replicate() {
   const TimePoint now = this->scheduler.Now();
   EmulatedTarget& source = this->leader();
-  if (source.is_running()) {
+  if (source.is_running() && !source.has_lost_log()) {
     this->log_lengths.emplace_back(now, source.log().size());
     if (this->log_lengths.size() > kMaximumLogLengths)
       this->log_lengths.erase(this->log_lengths.begin());
--- a/Libraries/LibEmulator/emulated_synchronous_group_test.cc
+++ b/Libraries/LibEmulator/emulated_synchronous_group_test.cc
@@ -218,6 +218,20 @@
     CHECK(FirstViolation(cluster) == "");
   }
 
+  // Guards against the end of an empty log that is taken for the end of the old
+  // primary's.
+  SUBCASE("does not use an old primary that returns without its log") {
+    for (const TargetName& replica : {ahead, behind})
+      cluster.FailStatus(replica, EmulatedStatusFault::kSilent,
+                         std::chrono::seconds(6));
+    cluster.CrashTarget(primary, kForGood);
+    cluster.RunFor(std::chrono::seconds(2));
+    group.Find(primary)->StartEmpty();
+    RunUntilPromotion(cluster);
+    CHECK(group.leader().name() == ahead);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
   SUBCASE("lets another proxy wait when the coordinator is lost") {
     cluster.FailStatus(ahead, EmulatedStatusFault::kSilent,
                        std::chrono::milliseconds(8000));
@@ -276,6 +290,29 @@
   }
 }
 
+// Guards against a coordinator that waits for a report of one group and keeps
+// the proxies of other groups from replacing their primaries.
+TEST_CASE("emulated group that waits for a replica beside another group") {
+  EmulatedCluster::Options options = SynchronousOptions();
+  options.nodes = 60;
+  options.groups = 6;
+  EmulatedCluster cluster(options);
+  cluster.Start();
+  cluster.RunFor(std::chrono::seconds(8));
+  EmulatedGroup& waiting = cluster.group(0);
+  for (const auto& target : waiting.targets())
+    cluster.FailStatus(target->name(), EmulatedStatusFault::kSilent, kForGood);
+  cluster.CrashTarget(waiting.leader().name(), kForGood);
+  cluster.RunFor(std::chrono::seconds(4));
+  for (size_t index = 1; index < options.groups; ++index)
+    cluster.CrashTarget(cluster.group(index).leader().name(), kForGood);
+  cluster.RunFor(std::chrono::seconds(25));
+  CHECK(waiting.promotions() == 0);
+  for (size_t index = 1; index < options.groups; ++index)
+    CHECK(cluster.group(index).promotions() > 0);
+  CHECK(FirstViolation(cluster) == "");
+}
+
 TEST_CASE("emulated groups with synchronous replicas under random faults") {
   for (const uint64_t seed : {21, 22, 23, 24, 25, 26, 27, 28}) {
     CAPTURE(seed);
--- a/Libraries/LibEmulator/emulated_target.cc
+++ b/Libraries/LibEmulator/emulated_target.cc
@@ -72,6 +72,13 @@
   this->running = true;
 }
 
+void EmulatedTarget::StartEmpty() {
+  this->entries.clear();
+  this->leads = false;
+  this->did_lose_log = true;
+  this->running = true;
+}
+
 void EmulatedTarget::Lead(Term term) {
   this->leads = true;
   this->current_term = term;
--- a/Libraries/LibEmulator/emulated_target.h
+++ b/Libraries/LibEmulator/emulated_target.h
@@ -62,6 +62,9 @@
   // Ends every session. The log survives.
   void Crash();
   void Start();
+  // Starts as a replica without a log.
+  void StartEmpty();
+  bool has_lost_log() const { return this->did_lose_log; }
 
   // Multiplies the time that each later statement takes.
   void SetSlowdown(int factor) { this->slowdown = factor; }
@@ -119,6 +122,7 @@
   SeededRandom random;
   bool running = true;
   bool leads = false;
+  bool did_lose_log = false;
   int slowdown = 1;
   EmulatedStatusFault status_fault = EmulatedStatusFault::kNone;
   bool has_synchronous_replicas = false;
