--- a/Libraries/LibCoordination/roster_keeper.h
+++ b/Libraries/LibCoordination/roster_keeper.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -70,8 +69,6 @@
     std::map<TargetName, Absence> absences;
     // The ends of the logs that the listed targets have reported.
     std::map<TargetName, LogPoint> received;
-    // The targets that have not answered a status command yet.
-    std::set<TargetName> unanswered;
     TimePoint queried_at{};
     // Since when the roster in the store is not the wanted one.
     std::optional<TimePoint> differs_since;
