--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -333,9 +333,12 @@
   // An older revision never replaces a newer one.
   if (this->routes && decoded->revision <= this->routes->revision)
     return;
-  spdlog::info("event=configuration revision={} routes={} groups={}",
+  spdlog::info("event=configuration revision={} routes={} groups={} source={}",
                decoded->revision.value, decoded->route_by_database.size(),
-               decoded->groups.size());
+               decoded->groups.size(),
+               this->configuration.updated_from() == TableCache::Source::kStore
+                   ? "store"
+                   : "copy");
   this->routes = std::move(*decoded);
   this->UpdateAssignmentGroups();
   this->UpdateDispatchers();
@@ -626,10 +629,20 @@
   if (others.empty())
     return;
   this->copies_requested_at = now;
+  const std::string& other = others.at(this->random.Below(others.size()));
+  const auto age_ms = [now](const TableCache& cache) {
+    return ToMilliseconds(now - cache.read_at());
+  };
+  this->event_log.Write(
+      EventLog::Kind::kStateChange,
+      "event=copies_requested other={} configuration_age_ms={} "
+      "targets_age_ms={} coordination_age_ms={}",
+      other, age_ms(this->configuration), age_ms(this->targets),
+      age_ms(this->coordination));
   StoreCopyQuery query;
   query.versions = this->CachedVersions();
   this->dependencies.peers.Ask(
-      others.at(this->random.Below(others.size())), query, kCopyTimeout,
+      other, query, kCopyTimeout,
       this->life.Wrap([this, now](std::optional<PeerAnswer> answer) {
         if (!answer)
           return;
@@ -998,6 +1011,13 @@
                                     this->coordination.store_answered_at())
           .count(),
       this->failover.coordinator_lease().is_held() ? 1 : 0);
+  for (const auto& [table, cache] :
+       {std::pair("configuration", &this->configuration),
+        std::pair("targets", &this->targets),
+        std::pair("coordination", &this->coordination)})
+    text += fmt::format(
+        "kingcupmill_table_age_seconds{{table=\"{}\"}} {:.3f}\n", table,
+        std::chrono::duration<double>(now - cache->read_at()).count());
   for (const auto& [group, dispatcher] : this->dispatchers) {
     const auto lease = this->leases.LeasedPrimary(group, now);
     text += fmt::format(
--- a/Libraries/LibTables/table_cache.cc
+++ b/Libraries/LibTables/table_cache.cc
@@ -102,6 +102,7 @@
       this->newest_read_at =
           std::max(this->newest_read_at,
                    this->store_clock.MadeAt(sent_at, now, read.store_time));
+      this->last_update_source = Source::kStore;
       this->did_update();
       this->is_behind_logged = false;
     } else {
@@ -147,6 +148,7 @@
     return;
   this->Apply(delta.rows, delta.is_snapshot);
   this->newest_read_at = std::max(this->newest_read_at, read_at);
+  this->last_update_source = Source::kPeer;
   this->did_update();
 }
 
--- a/Libraries/LibTables/table_cache.h
+++ b/Libraries/LibTables/table_cache.h
@@ -83,6 +83,8 @@
   // The copy was current then: a lower bound of when the store made the answer
   // that confirmed it.
   TimePoint read_at() const { return this->newest_read_at; }
+  // Where the newest update came from.
+  Source updated_from() const { return this->last_update_source; }
   // When the store last answered this proxy itself; the epoch before the first
   // answer.
   TimePoint store_answered_at() const { return this->last_answer_at; }
@@ -114,6 +116,7 @@
   std::map<std::string, uint64_t> removed_by_key;
   uint64_t removals_known_since = 0;
   Source source = Source::kStore;
+  Source last_update_source = Source::kStore;
   bool needs_full_read = true;
   StoreClock store_clock;
   TimePoint newest_read_at{};
--- a/Libraries/LibWire/http_client.cc
+++ b/Libraries/LibWire/http_client.cc
@@ -2,6 +2,9 @@
 
 #include <cpprest/http_client.h>
 
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <exception>
 #include <future>
 #include <utility>
@@ -13,9 +16,21 @@
 
 namespace {
 
-http_client_config MakeConfig(Duration timeout) {
+// Counts the connections of one client. Shared with the client's requests,
+// which may outlive it.
+using ConnectionCounter = std::shared_ptr<std::atomic<uint64_t>>;
+
+http_client_config MakeConfig(Duration timeout,
+                              const ConnectionCounter& connections_opened) {
   http_client_config config;
   config.set_timeout(timeout);
+  // Called for each request with the connection that will carry it.
+  config.set_nativehandle_options(
+      [connections_opened](web::http::client::native_handle handle) {
+        const auto* socket = static_cast<boost::asio::ip::tcp::socket*>(handle);
+        if (!socket->is_open())
+          ++*connections_opened;
+      });
   return config;
 }
 
@@ -32,7 +47,10 @@
 
 struct HttpClient::State {
   State(const std::string& address, Duration timeout)
-      : client("http://" + address, MakeConfig(timeout)) {}
+      : client("http://" + address,
+               MakeConfig(timeout, this->connections_opened)) {}
+  ConnectionCounter connections_opened =
+      std::make_shared<std::atomic<uint64_t>>(0);
   http_client client;
 };
 
@@ -41,6 +59,10 @@
 
 HttpClient::~HttpClient() = default;
 
+uint64_t HttpClient::connections_opened() const {
+  return *this->state->connections_opened;
+}
+
 void HttpClient::Send(const HttpRequest& request, DidReceive did_receive) {
   web::http::http_request native(request.method);
   native.set_request_uri(request.query.empty()
--- a/Libraries/LibWire/http_client.h
+++ b/Libraries/LibWire/http_client.h
@@ -1,6 +1,7 @@
 #ifndef LIBWIRE_HTTP_CLIENT_H_
 #define LIBWIRE_HTTP_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,6 +27,10 @@
   // Sends a request; `did_receive` is called on a thread of cpprestsdk's pool.
   void Send(const HttpRequest& request, DidReceive did_receive);
 
+  // The number of connections opened so far. A request during which it does not
+  // grow used a connection that was opened earlier.
+  uint64_t connections_opened() const;
+
   // Sends a request and blocks the calling thread until it is answered or
   // fails.
   Result<HttpResponse> SendAndWait(const HttpRequest& request);
