LibEmulator, platform: Reproduce a configuration that is late after silence

The emulator had no connections to the store that can die, and the soak's relay silences new connections too, so no test could show this fault: what is open falls silent for good, what is new works.

--- a/Libraries/LibEmulator/emulated_cluster.cc
+++ b/Libraries/LibEmulator/emulated_cluster.cc
@@ -426,6 +426,27 @@
   this->PublishConfiguration();
 }
 
+void EmulatedCluster::SilenceConnections(size_t index) {
+  this->nodes[index]->SilenceConnections();
+}
+
+void EmulatedCluster::SilenceAllConnections() {
+  for (const auto& node : this->nodes)
+    node->SilenceConnections();
+}
+
+void EmulatedCluster::SilenceConfigurationPolls(size_t index) {
+  this->nodes[index]->SilencePolls(kConfigurationTable);
+}
+
+size_t EmulatedCluster::OutdatedNodes() {
+  return static_cast<size_t>(
+      std::count_if(this->nodes.begin(), this->nodes.end(), [this](auto& node) {
+        Gateway* gateway = node->gateway();
+        return gateway && gateway->revision() < this->published_revision();
+      }));
+}
+
 void EmulatedCluster::RestoreStore(Duration lost, Duration away) {
   this->scheduler.PostAfter(away, [this, lost, away] {
     this->emulated_store.Restore(lost + away);
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -89,6 +89,16 @@
                   EmulatedStatusFault fault,
                   Duration duration);
   void ChangeConfiguration();
+  Revision published_revision() const { return Revision{this->revision}; }
+  // All open connections of a proxy, or of all of them, fall silent for good.
+  // New ones work.
+  void SilenceConnections(size_t index);
+  void SilenceAllConnections();
+  // The same for a proxy's polls of the configuration.
+  void SilenceConfigurationPolls(size_t index);
+  // The number of running proxies that use an older configuration than the
+  // published one.
+  size_t OutdatedNodes();
   // The store is silent for `away` and comes back without the changes of `lost`
   // before that. Targets and the operator write their rows again.
   void RestoreStore(Duration lost, Duration away);
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -28,18 +28,25 @@
 
   std::unique_ptr<TargetChannel> Dial(const TargetEndpoint& endpoint,
                                       ChannelHandlers handlers) override {
-    return std::make_unique<Channel>(this->node, this->scheduler, endpoint,
-                                     std::move(handlers));
+    return std::make_unique<Channel>(*this, this->node, this->scheduler,
+                                     endpoint, std::move(handlers));
+  }
+
+  void SilenceConnections() {
+    for (Channel* channel : this->channels)
+      channel->Silence();
   }
 
  private:
   class Channel final : public TargetChannel {
    public:
-    Channel(EmulatedNode& node,
+    Channel(Dialer& dialer,
+            EmulatedNode& node,
             Scheduler& scheduler,
             const TargetEndpoint& endpoint,
             ChannelHandlers handlers)
-        : node(node),
+        : dialer(dialer),
+          node(node),
           dependencies(node.dependencies),
           from(node.node_address),
           to(endpoint.target),
@@ -47,11 +54,17 @@
           target(node.dependencies.groups.at(endpoint.group)
                      ->Find(endpoint.target)),
           handlers(std::make_shared<ChannelHandlers>(std::move(handlers))) {
+      this->dialer.channels.insert(this);
       this->scheduler.PostAfter(kConnectTime,
                                 this->life.Wrap([this] { this->Open(); }));
     }
 
-    ~Channel() override { this->Close(); }
+    ~Channel() override {
+      this->Close();
+      this->dialer.channels.erase(this);
+    }
+
+    void Silence() { this->is_silent = true; }
 
     void Send(std::span<const TargetCommand> commands) override {
       for (const TargetCommand& command : commands) {
@@ -127,6 +140,7 @@
       }));
     }
 
+    Dialer& dialer;
     const EmulatedNode& node;
     Dependencies& dependencies;
     std::string from;
@@ -141,18 +155,29 @@
 
   EmulatedNode& node;
   Scheduler& scheduler;
+  std::set<Channel*> channels;
 };
 
-// Sends queries to other emulated proxies.
+// Sends queries to other emulated proxies. All queries to one proxy share a
+// link, which is opened anew after a query on it has timed out.
 class EmulatedNode::Links final : public PeerLinks {
  public:
   Links(EmulatedNode& node, Scheduler& scheduler)
       : node(node), scheduler(scheduler) {}
 
+  void SilenceConnections() {
+    for (const auto& [address, link] : this->link_by_address)
+      link->is_silent = true;
+  }
+
   void Ask(const std::string& address,
            const PeerQuery& query,
            Duration timeout,
            DidAnswer did_answer) override {
+    std::shared_ptr<Link>& current = this->link_by_address[address];
+    if (!current)
+      current = std::make_shared<Link>();
+    const std::shared_ptr<Link> link = current;
     auto is_answered = std::make_shared<bool>(false);
     auto finish = this->life.Wrap(
         [is_answered, did_answer](const std::optional<PeerAnswer>& answer) {
@@ -160,18 +185,25 @@
             did_answer(answer);
         });
     this->scheduler.PostAfter(
-        timeout,
-        [finish, none = std::optional<PeerAnswer>()] { finish(none); });
+        timeout, this->life.Wrap([this, address, link, is_answered, finish,
+                                  none = std::optional<PeerAnswer>()] {
+          const auto found = this->link_by_address.find(address);
+          if (!*is_answered && found != this->link_by_address.end() &&
+              found->second == link)
+            this->link_by_address.erase(found);
+          finish(none);
+        }));
     std::vector<uint8_t> bytes = EncodeQuery(1, query);
     this->node.dependencies.traffic.DidSendQuery(this->node.node_address,
                                                  query.index(), bytes.size());
-    if (this->node.dependencies.partitions.is_blocked(this->node.node_address,
-                                                      address))
+    if (link->is_silent || this->node.dependencies.partitions.is_blocked(
+                               this->node.node_address, address))
       return;
     this->node.dependencies.cluster_scheduler.PostAfter(
         kNetworkDelay,
         [dependencies = &this->node.dependencies, own = this->node.node_address,
-         address, kind = query.index(), bytes = std::move(bytes), finish] {
+         address, kind = query.index(), bytes = std::move(bytes), link,
+         finish] {
           EmulatedNode* peer = dependencies->find_node(address);
           if (!peer || !peer->gateway() || peer->is_frozen())
             return;
@@ -180,11 +212,12 @@
           KINGCUPMILL_VERIFY(received.has_value());
           peer->gateway()->HandleQuery(
               std::get<NumberedQuery>(*received).query,
-              [dependencies, own, address, kind,
+              [dependencies, own, address, kind, link,
                finish](const PeerAnswer& answer) {
                 const std::vector<uint8_t> back = EncodeAnswer(1, answer);
                 dependencies->traffic.DidSendAnswer(address, kind, back.size());
-                if (dependencies->partitions.is_blocked(own, address))
+                if (link->is_silent ||
+                    dependencies->partitions.is_blocked(own, address))
                   return;
                 dependencies->cluster_scheduler.PostAfter(
                     kNetworkDelay, [dependencies, own, finish, back] {
@@ -200,8 +233,13 @@
   }
 
  private:
+  struct Link {
+    bool is_silent = false;
+  };
+
   EmulatedNode& node;
   Scheduler& scheduler;
+  std::map<std::string, std::shared_ptr<Link>> link_by_address;
   LifetimeGuard life;
 };
 
@@ -333,6 +371,19 @@
   this->process->scheduler.FreezeUntil(this->frozen_until);
 }
 
+void EmulatedNode::SilenceConnections() {
+  if (!this->process)
+    return;
+  this->process->store.SilenceConnections();
+  this->process->links.SilenceConnections();
+  this->process->dialer.SilenceConnections();
+}
+
+void EmulatedNode::SilencePolls(std::string_view table) {
+  if (this->process)
+    this->process->store.SilencePolls(table);
+}
+
 bool EmulatedNode::is_frozen() const {
   return this->dependencies.cluster_scheduler.Now() < this->frozen_until;
 }
--- a/Libraries/LibEmulator/emulated_node.h
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -72,6 +72,11 @@
   void Stop(Duration grace, std::function<void()> did_end);
   void Freeze(Duration duration);
   void SetStoreFault(EmulatedStoreAccess::Fault fault);
+  // All open connections of the process to the store, to targets and to other
+  // proxies fall silent for good. New ones work.
+  void SilenceConnections();
+  // The same for the polls of one table of the store.
+  void SilencePolls(std::string_view table);
 
   // Null while the process is down.
   Gateway* gateway();
--- a/Libraries/LibEmulator/emulated_store.cc
+++ b/Libraries/LibEmulator/emulated_store.cc
@@ -10,6 +10,7 @@
 
 constexpr Duration kCallTime = std::chrono::milliseconds(4);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
+constexpr Duration kPollTimeout = std::chrono::milliseconds(3100);
 // The longest part of a late change's delay that is chosen at random.
 constexpr uint64_t kMaximumLateChangeMs = 6000;
 
@@ -158,9 +159,10 @@
     return this->Read(table, std::move(did_read));
   const std::string name(table);
   // Answers when the table changes or the wait ends, whichever is first.
-  auto is_answered = std::make_shared<bool>(false);
-  auto answer = [this, name, version, is_answered, did_read] {
-    if (std::exchange(*is_answered, true))
+  auto poll = std::make_shared<WaitingPoll>();
+  poll->table = name;
+  auto answer = [this, name, version, poll, did_read] {
+    if (poll->is_silent || std::exchange(poll->is_answered, true))
       return;
     if (EraOf(version) != this->store.era())
       return this->Deliver<Outcome>(kCallTime, did_read,
@@ -177,6 +179,29 @@
   // The store outlives the process, so the callback must not.
   this->store.Await(name, this->life.Wrap(answer));
   this->scheduler.PostAfter(wait, answer);
+  std::erase_if(this->waiting_polls,
+                [](const auto& other) { return other.expired(); });
+  this->waiting_polls.push_back(poll);
+  this->scheduler.PostAfter(kPollTimeout, [poll, did_read] {
+    if (!std::exchange(poll->is_answered, true))
+      did_read(Error{ErrorCode::kTimeout, "silent"});
+  });
+}
+
+void EmulatedStoreAccess::SilenceConnections() {
+  this->SilencePolls(std::nullopt);
+}
+
+void EmulatedStoreAccess::SilencePolls(std::string_view table) {
+  this->SilencePolls(std::optional(table));
+}
+
+void EmulatedStoreAccess::SilencePolls(std::optional<std::string_view> table) {
+  for (const auto& weak : this->waiting_polls) {
+    const auto poll = weak.lock();
+    if (poll && !poll->is_answered && (!table || poll->table == *table))
+      poll->is_silent = true;
+  }
 }
 
 void EmulatedStoreAccess::Change(std::string_view table,
--- a/Libraries/LibEmulator/emulated_store.h
+++ b/Libraries/LibEmulator/emulated_store.h
@@ -4,7 +4,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibCore/lifetime_guard.h"
@@ -92,6 +95,12 @@
 
   void SetFault(Fault fault) { this->fault = fault; }
 
+  // The connections of all polls that wait fall silent for good. Each poll
+  // fails when it times out. Later calls use new connections.
+  void SilenceConnections();
+  // The same for the polls of one table.
+  void SilencePolls(std::string_view table);
+
   void Read(std::string_view table, DidRead did_read) override;
   void PollChanges(std::string_view table,
                    uint64_t version,
@@ -102,8 +111,16 @@
               DidChange did_change) override;
 
  private:
+  // A poll that the store has not answered yet.
+  struct WaitingPoll {
+    std::string table;
+    bool is_answered = false;
+    bool is_silent = false;
+  };
+
   // Returns `read` with the versions of the store's era.
   TableRows WithEra(TableRows read);
+  void SilencePolls(std::optional<std::string_view> table);
   template <typename Outcome>
   void Deliver(Duration delay,
                std::function<void(Outcome)> callback,
@@ -115,6 +132,7 @@
   EmulatedTraffic& traffic;
   SeededRandom random;
   Fault fault = Fault::kNone;
+  std::vector<std::weak_ptr<WaitingPoll>> waiting_polls;
   // The era of the newest answer.
   uint64_t known_era = 0;
   LifetimeGuard life;
