LibWire: Close HTTP connections that died without a sign

HTTP connections now send keep-alive probes after a second without traffic and are closed when one is not answered within a second. A call that times out fails with kTimeout, so that callers can tell it from one that was refused.

--- a/Libraries/LibWire/http_client.cc
+++ b/Libraries/LibWire/http_client.cc
@@ -1,35 +1,68 @@
 #include "LibWire/http_client.h"
 
 #include <cpprest/http_client.h>
+#include <netinet/tcp.h>
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <exception>
 #include <future>
+#include <system_error>
 #include <utility>
 
 namespace kingcupmill {
 
+using boost::asio::ip::tcp;
 using web::http::client::http_client;
 using web::http::client::http_client_config;
 
 namespace {
 
+// A connection whose peer has not answered a keep-alive probe within this time
+// is closed. Probes are sent after as long without traffic, so a connection
+// that died without a sign is closed after twice this time.
+constexpr int kKeepAliveSeconds = 1;
+
 // Counts the connections of one client. Shared with the client's requests,
 // which may outlive it.
 using ConnectionCounter = std::shared_ptr<std::atomic<uint64_t>>;
 
-http_client_config MakeConfig(Duration timeout,
+template <int kOption>
+void SetTcpOption(tcp::socket& socket, int value) {
+  using Option =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP, kOption>;
+  boost::system::error_code ignored;
+  socket.set_option(Option(value), ignored);
+}
+
+void EnableKeepAlive(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  SetTcpOption<TCP_KEEPIDLE>(socket, kKeepAliveSeconds);
+  SetTcpOption<TCP_KEEPINTVL>(socket, kKeepAliveSeconds);
+  SetTcpOption<TCP_KEEPCNT>(socket, 1);
+}
+
+http_client_config MakeConfig(const std::string& address,
+                              Duration timeout,
                               const ConnectionCounter& connections_opened) {
   http_client_config config;
   config.set_timeout(timeout);
+  const bool is_ipv6 = address.starts_with('[');
   // Called for each request with the connection that will carry it.
   config.set_nativehandle_options(
-      [connections_opened](web::http::client::native_handle handle) {
-        const auto* socket = static_cast<boost::asio::ip::tcp::socket*>(handle);
-        if (!socket->is_open())
-          ++*connections_opened;
+      [connections_opened, is_ipv6](web::http::client::native_handle handle) {
+        auto& socket = *static_cast<tcp::socket*>(handle);
+        if (socket.is_open())
+          return;
+        ++*connections_opened;
+        // Options can only be set on an open socket. The library connects it
+        // later.
+        boost::system::error_code error;
+        socket.open(is_ipv6 ? tcp::v6() : tcp::v4(), error);
+        if (!error)
+          EnableKeepAlive(socket);
       });
   return config;
 }
@@ -48,7 +81,7 @@
 struct HttpClient::State {
   State(const std::string& address, Duration timeout)
       : client("http://" + address,
-               MakeConfig(timeout, this->connections_opened)) {}
+               MakeConfig(address, timeout, this->connections_opened)) {}
   ConnectionCounter connections_opened =
       std::make_shared<std::atomic<uint64_t>>(0);
   http_client client;
@@ -84,6 +117,12 @@
         ValueOrError<HttpResponse> outcome = Error{};
         try {
           outcome = finished.get();
+        } catch (const web::http::http_exception& exception) {
+          const bool has_timed_out = exception.error_code().value() ==
+                                     static_cast<int>(std::errc::timed_out);
+          outcome = Error{
+              has_timed_out ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
+              exception.what()};
         } catch (const std::exception& exception) {
           outcome = Error{ErrorCode::kUnavailable, exception.what()};
         }
--- a/Libraries/LibWire/http_client.h
+++ b/Libraries/LibWire/http_client.h
@@ -17,8 +17,8 @@
  public:
   using DidReceive = std::function<void(ValueOrError<HttpResponse>)>;
 
-  // `address` is "IP:port". A request that gets no response, also not within
-  // `timeout`, fails with kUnavailable.
+  // `address` is "IP:port". A request that gets no response within `timeout`
+  // fails with kTimeout, one whose connection fails with kUnavailable.
   HttpClient(std::string address, Duration timeout);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
