--- a/Libraries/LibEmulator/emulated_store.cc
+++ b/Libraries/LibEmulator/emulated_store.cc
@@ -4,13 +4,13 @@
 #include <memory>
 #include <utility>
 
+#include "LibTables/store_timing.h"
+
 namespace kingcupmill {
 
 namespace {
 
 constexpr Duration kCallTime = std::chrono::milliseconds(4);
-constexpr Duration kCallTimeout = std::chrono::milliseconds(1200);
-constexpr Duration kPollTimeout = std::chrono::milliseconds(3100);
 // The longest part of a late change's delay that is chosen at random.
 constexpr uint64_t kMaximumLateChangeMs = 6000;
 
@@ -142,7 +142,7 @@
     return this->Deliver<Outcome>(kCallTime, did_read,
                                   Error{ErrorCode::kUnavailable, "refused"});
   if (this->fault == Fault::kSilent)
-    return this->Deliver<Outcome>(kCallTimeout, did_read,
+    return this->Deliver<Outcome>(kStoreCallTimeout, did_read,
                                   Error{ErrorCode::kTimeout, "silent"});
   this->Deliver<Outcome>(
       kCallTime, did_read,
@@ -182,7 +182,7 @@
   std::erase_if(this->waiting_polls,
                 [](const auto& other) { return other.expired(); });
   this->waiting_polls.push_back(poll);
-  this->scheduler.PostAfter(kPollTimeout, [poll, did_read] {
+  this->scheduler.PostAfter(wait + kLongPollAllowance, [poll, did_read] {
     if (!std::exchange(poll->is_answered, true))
       did_read(Error{ErrorCode::kTimeout, "silent"});
   });
@@ -214,7 +214,7 @@
                                   Error{ErrorCode::kUnavailable, "refused"});
   const Outcome lost = Error{ErrorCode::kTimeout, "no answer"};
   if (this->fault == Fault::kSilent)
-    return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
+    return this->Deliver<Outcome>(kStoreCallTimeout, did_change, lost);
   for (auto& row : change.expected) {
     if (row.version != 0 && EraOf(row.version) < this->known_era)
       return this->Deliver<Outcome>(kCallTime, did_change, ChangeOutcome{});
@@ -228,12 +228,12 @@
     this->cluster_scheduler.PostAfter(
         delay,
         [store = &this->store, name, change] { store->Apply(name, change); });
-    return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
+    return this->Deliver<Outcome>(kStoreCallTimeout, did_change, lost);
   }
   ChangeOutcome outcome = this->store.Apply(name, change);
   outcome.version = MakeStoreVersion(this->store.era(), outcome.version);
   if (this->fault == Fault::kLosesAnswers)
-    return this->Deliver<Outcome>(kCallTimeout, did_change, lost);
+    return this->Deliver<Outcome>(kStoreCallTimeout, did_change, lost);
   this->Deliver<Outcome>(kCallTime, did_change, outcome);
 }
 
