LibGateway: Ask a reader again when a poll of it got no answer

With both readers given up, 77 of 89 proxies read the store themselves at 15 s.

A poll without an answer tells of its link, not of the reader, so the reader is asked once more on a new link, without a wait, and only then the other.

--- a/Libraries/LibGateway/store_copy_poller.cc
+++ b/Libraries/LibGateway/store_copy_poller.cc
@@ -4,15 +4,12 @@
 
 #include <utility>
 
+#include "LibGateway/refresh_timing.h"
+
 namespace kingcupmill {
 
 namespace {
 
-// A reader answers once it has read the store again, which takes a long poll of
-// its own, or when this wait has elapsed.
-constexpr Duration kLongPollWait = std::chrono::milliseconds(2000);
-constexpr Duration kAnswerTimeout =
-    kLongPollWait + std::chrono::milliseconds(600);
 // A reader that did not answer is skipped for this long.
 constexpr Duration kReaderRetryDelay = std::chrono::seconds(4);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
@@ -59,20 +56,18 @@
     return;
   if (const auto reader = this->ChooseReader())
     return this->SendQuery(*reader);
-  this->scheduler.PostAfter(
-      kRetryDelay, this->life.Wrap([this, generation = this->generation] {
-        if (generation == this->generation)
-          this->Poll();
-      }));
+  this->PollAfter(kRetryDelay);
 }
 
 void StoreCopyPoller::SendQuery(const std::string& reader) {
   this->is_polling = true;
+  const bool is_urgent = std::exchange(this->wants_copies_at_once, false);
   StoreCopyQuery query;
   query.versions = this->versions();
-  query.wait = kLongPollWait;
+  query.wait = is_urgent ? Duration(0) : kReaderPollWait;
   this->peers.Ask(
-      reader, query, kAnswerTimeout,
+      reader, query,
+      is_urgent ? kCopyTimeout : kReaderPollWait + kReaderPollAllowance,
       this->life.Wrap([this, reader, generation = this->generation,
                        sent_at = this->scheduler.Now()](
                           const std::optional<PeerAnswer>& answer) {
@@ -81,18 +76,34 @@
         this->is_polling = false;
         const auto* copies =
             answer ? std::get_if<StoreCopyAnswer>(&*answer) : nullptr;
-        if (copies) {
-          this->failed_at.erase(reader);
-          this->did_receive(*copies, sent_at);
-        } else {
-          spdlog::warn("event=store_reader_lost reader={}", reader);
-          this->failed_at[reader] = this->scheduler.Now();
-        }
-        this->scheduler.PostAfter(copies ? Duration(0) : Duration(kRetryDelay),
-                                  this->life.Wrap([this, generation] {
-                                    if (generation == this->generation)
-                                      this->Poll();
-                                  }));
+        if (!copies)
+          return this->DidFail(reader, answer.has_value());
+        this->suspected_reader.reset();
+        this->failed_at.erase(reader);
+        this->did_receive(*copies, sent_at);
+        this->PollAfter(Duration(0));
+      }));
+}
+
+void StoreCopyPoller::DidFail(const std::string& reader, bool is_unreachable) {
+  this->wants_copies_at_once = true;
+  // Only the connection may have died, and the next query uses a new one.
+  if (!is_unreachable && this->suspected_reader != reader) {
+    spdlog::info("event=store_reader_suspected reader={}", reader);
+    this->suspected_reader = reader;
+    return this->PollAfter(Duration(0));
+  }
+  spdlog::warn("event=store_reader_lost reader={}", reader);
+  this->suspected_reader.reset();
+  this->failed_at[reader] = this->scheduler.Now();
+  this->PollAfter(kRetryDelay);
+}
+
+void StoreCopyPoller::PollAfter(Duration delay) {
+  this->scheduler.PostAfter(
+      delay, this->life.Wrap([this, generation = this->generation] {
+        if (generation == this->generation)
+          this->Poll();
       }));
 }
 
--- a/Libraries/LibGateway/store_copy_poller.h
+++ b/Libraries/LibGateway/store_copy_poller.h
@@ -39,7 +39,10 @@
 
  private:
   void Poll();
+  void PollAfter(Duration delay);
   void SendQuery(const std::string& reader);
+  // `is_unreachable` tells that the query could not even be sent.
+  void DidFail(const std::string& reader, bool is_unreachable);
   // Returns the first reader that has not failed to answer recently.
   std::optional<std::string> ChooseReader() const;
 
@@ -50,6 +53,11 @@
   std::vector<std::string> readers;
   std::map<std::string, TimePoint> failed_at;
   bool is_polling = false;
+  // The reader whose last query got no answer, and which is asked once more.
+  std::optional<std::string> suspected_reader;
+  // The next query does not wait for changes: after a failure, the copies may
+  // already be old.
+  bool wants_copies_at_once = false;
   // Incremented with each new list of readers, so that answers to queries from
   // before the change are ignored.
   uint64_t generation = 0;
