LibToml: Report a malformed table header as an error

A settings or declaration file with '[' before the end of a line ended the process: toml++ asserts that a key follows. Also '[' before a control character.

A failed assertion of the parser is now an error with its file and line, like any other syntax error. The new case aborts on the code before.

--- a/Libraries/LibArrangement/arrangement_parser_test.cc
+++ b/Libraries/LibArrangement/arrangement_parser_test.cc
@@ -69,6 +69,12 @@
           arrangement);
     CHECK(errors.empty());
   }
+  // Guards against a document that ends the process, since the parser asserts
+  // that it does not occur.
+  SUBCASE("a table header that is cut short") {
+    CHECK(has_message(ErrorsOf("[\n"), "malformed"));
+    CHECK(has_message(ErrorsOf("a = 1\n[\x01"), "malformed"));
+  }
   SUBCASE("a reference to an undeclared place") {
     CHECK(
         has_message(ErrorsOf(Replace(kValidDeclarations, "\"accra-a\"\naddress",
--- a/Libraries/LibToml/toml_section.cc
+++ b/Libraries/LibToml/toml_section.cc
@@ -1,9 +1,18 @@
 #include "LibToml/toml_section.h"
 
-#include <toml++/toml.h>
-
+#include <stdexcept>
+#include <tuple>
 #include <utility>
 
+// toml++ asserts that some malformed documents do not occur. A failed assertion
+// is reported like any other syntax error.
+[[noreturn]] static void FailParserAssertion() {
+  throw std::logic_error("the document is malformed");
+}
+#define TOML_ASSERT(expression) \
+  static_cast<void>((expression) || (FailParserAssertion(), false))
+#include <toml++/toml.h>
+
 namespace kingcupmill {
 
 namespace {
@@ -36,6 +45,23 @@
   return 0;
 }
 
+// Returns the first line at which an assertion of the parser fails.
+uint32_t FindMalformedLine(std::string_view text) {
+  uint32_t line = 1;
+  for (size_t end = text.find('\n'); end != std::string_view::npos;
+       end = text.find('\n', end + 1)) {
+    try {
+      std::ignore = toml::parse(text.substr(0, end));
+    } catch (const toml::parse_error&) {
+      // The error may be that the document ends here.
+    } catch (const std::logic_error&) {
+      return line;
+    }
+    ++line;
+  }
+  return line;
+}
+
 }  // namespace
 
 // Refers to one table and keeps the whole document alive.
@@ -67,6 +93,9 @@
     errors.push_back({{file, error.source().begin.line},
                       "(syntax)",
                       std::string(error.description())});
+  } catch (const std::logic_error& error) {
+    errors.push_back(
+        {{file, FindMalformedLine(text)}, "(syntax)", error.what()});
   }
   auto node = std::make_shared<Node>();
   node->table = document.get();
