--- a/Libraries/LibEmulator/emulated_cluster.cc
+++ b/Libraries/LibEmulator/emulated_cluster.cc
@@ -426,6 +426,10 @@
   this->PublishConfiguration();
 }
 
+void EmulatedCluster::ChangeConfigurationAfter(Duration delay) {
+  this->scheduler.PostAfter(delay, [this] { this->PublishConfiguration(); });
+}
+
 void EmulatedCluster::SilenceConnections(size_t index) {
   this->nodes[index]->SilenceConnections();
 }
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -89,6 +89,7 @@
                   EmulatedStatusFault fault,
                   Duration duration);
   void ChangeConfiguration();
+  void ChangeConfigurationAfter(Duration delay);
   Revision published_revision() const { return Revision{this->revision}; }
   // All open connections of a proxy, or of all of them, fall silent for good.
   // New ones work.
--- a/Libraries/LibEmulator/emulated_silence_test.cc
+++ b/Libraries/LibEmulator/emulated_silence_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "LibEmulator/emulated_cluster.h"
+#include "LibEmulator/random_faults.h"
 
 namespace kingcupmill {
 
@@ -100,4 +101,17 @@
   }
 }
 
+TEST_CASE("emulated cluster keeps its guarantees while connections die") {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    CAPTURE(seed);
+    RandomFaultOptions options;
+    options.seed = seed;
+    options.silences = 5;
+    const RandomFaultReport report = RunRandomFaults(options);
+    CHECK(report.violations.empty());
+    CHECK(report.outdated_nodes == 0);
+    CHECK(report.writes_after_healing > 0);
+  }
+}
+
 }  // namespace kingcupmill
--- a/Libraries/LibEmulator/random_faults.cc
+++ b/Libraries/LibEmulator/random_faults.cc
@@ -23,6 +23,33 @@
 constexpr uint64_t kMaximumLagMs = 400;
 constexpr uint64_t kReplicaFaultKinds = 7;
 
+// The range of the time from a silence to the next configuration.
+constexpr uint64_t kMaximumChangeDelayMs = 3'000;
+// How soon a configuration is in force once all faults have ended.
+constexpr Duration kApplyTime = std::chrono::seconds(3);
+
+// Returns `count` random rounds, which may repeat.
+std::multiset<int> RandomRounds(int count, int rounds, SeededRandom& random) {
+  std::multiset<int> chosen;
+  for (int number = 0; number < count; ++number)
+    chosen.insert(static_cast<int>(
+        random.Below(static_cast<uint64_t>(std::max(rounds, 1)))));
+  return chosen;
+}
+
+// Silences the connections of each proxy, or of each with even odds.
+void InjectSilence(EmulatedCluster& cluster,
+                   size_t nodes,
+                   SeededRandom& random) {
+  const bool is_for_all = random.Below(2) == 0;
+  for (size_t index = 0; index < nodes; ++index) {
+    if (is_for_all || random.Below(2) == 0)
+      cluster.SilenceConnections(index);
+  }
+  cluster.ChangeConfigurationAfter(
+      std::chrono::milliseconds(random.Below(kMaximumChangeDelayMs)));
+}
+
 EmulatedTarget& RandomReplica(EmulatedGroup& group, SeededRandom& random) {
   std::vector<EmulatedTarget*> replicas;
   for (const auto& target : group.targets()) {
@@ -73,16 +100,19 @@
   cluster.Start();
   SeededRandom replica_random(run.seed);
   SeededRandom restore_random(run.seed);
-  std::multiset<int> restore_rounds;
-  for (int restore = 0; restore < run.restores; ++restore)
-    restore_rounds.insert(static_cast<int>(
-        restore_random.Below(static_cast<uint64_t>(std::max(run.rounds, 1)))));
+  const std::multiset<int> restore_rounds =
+      RandomRounds(run.restores, run.rounds, restore_random);
+  SeededRandom silence_random(run.seed);
+  const std::multiset<int> silence_rounds =
+      RandomRounds(run.silences, run.rounds, silence_random);
   for (int round = 0; round < run.rounds; ++round) {
     cluster.InjectFault();
     if (run.synchronous_replicas > 0)
       InjectReplicaFault(cluster,
                          cluster.group(replica_random.Below(options.groups)),
                          replica_random);
+    if (silence_rounds.contains(round))
+      InjectSilence(cluster, run.nodes, silence_random);
     if (restore_rounds.contains(round)) {
       const std::chrono::milliseconds lost(
           restore_random.Below(kMaximumLostMs));
@@ -97,6 +127,12 @@
   const uint64_t before = cluster.TotalCounts().writes_succeeded;
   cluster.RunFor(kMeasuredTime);
   RandomFaultReport report;
+  if (run.silences > 0) {
+    cluster.SilenceAllConnections();
+    cluster.ChangeConfiguration();
+    cluster.RunFor(kApplyTime);
+  }
+  report.outdated_nodes = cluster.OutdatedNodes();
   report.writes_after_healing = cluster.TotalCounts().writes_succeeded - before;
   report.violations = cluster.checker().violations();
   report.statements = cluster.TotalCounts().sent;
--- a/Libraries/LibEmulator/random_faults.h
+++ b/Libraries/LibEmulator/random_faults.h
@@ -16,6 +16,9 @@
   // Writes that succeeded in the last 3 s, after all faults were healed and
   // the cluster had time to recover.
   uint64_t writes_after_healing = 0;
+  // Proxies that use an older configuration than the one published at the end,
+  // after a last silence.
+  uint64_t outdated_nodes = 0;
 };
 
 struct RandomFaultOptions {
@@ -27,6 +30,9 @@
   size_t nodes = 5;
   // How often the store is restored from a backup, beside the random faults.
   int restores = 0;
+  // How often connections of some or all proxies fall silent, beside the random
+  // faults. Afterwards, a configuration is published.
+  int silences = 0;
   // How many replicas must have a commit before it is acknowledged. If there is
   // one, random faults of replicas are injected beside the others.
   size_t synchronous_replicas = 0;
--- a/Utilities/kingcupmill_lab.cc
+++ b/Utilities/kingcupmill_lab.cc
@@ -153,7 +153,12 @@
     if (report.writes_after_healing == 0)
       std::printf("seed %llu: no write succeeds after healing\n",
                   static_cast<unsigned long long>(seed));
-    if (!report.violations.empty() || report.writes_after_healing == 0)
+    if (report.outdated_nodes > 0)
+      std::printf("seed %llu: %llu proxies use an older configuration\n",
+                  static_cast<unsigned long long>(seed),
+                  static_cast<unsigned long long>(report.outdated_nodes));
+    if (!report.violations.empty() || report.writes_after_healing == 0 ||
+        report.outdated_nodes > 0)
       ++failures;
   }
   std::printf("%llu days, %llu statements, %llu promotions, %llu days failed\n",
@@ -275,6 +280,11 @@
                    "backup")
       ->check(CLI::Range(0, 100))
       ->capture_default_str();
+  emulate
+      ->add_option("--silences", day.silences,
+                   "Number of times per day that open connections fall silent")
+      ->check(CLI::Range(0, 100))
+      ->capture_default_str();
   emulate
       ->add_option("--sync-replicas", day.synchronous_replicas,
                    "Replicas that must have a commit before it is acknowledged")
--- a/Utilities/kingcupmill_soak.cc
+++ b/Utilities/kingcupmill_soak.cc
@@ -37,6 +37,11 @@
   if (!is_served)
     std::printf("seed %llu: no write succeeds after healing\n",
                 static_cast<unsigned long long>(seed));
+  if (environment.outdated_proxies() > 0)
+    std::printf(
+        "seed %llu: CONFIG: %llu times an older configuration\n",
+        static_cast<unsigned long long>(seed),
+        static_cast<unsigned long long>(environment.outdated_proxies()));
   std::printf(
       "seed %llu: %llu statements, %llu succeeded, %llu refused, %llu in "
       "doubt, %llu promotions, %zu violations\n",
@@ -47,8 +52,9 @@
       static_cast<unsigned long long>(counts.in_doubt),
       static_cast<unsigned long long>(environment.promotions()),
       environment.violations().size());
-  return environment.violations().empty() && is_served ? kExitOk
-                                                       : kExitViolations;
+  const bool has_passed = environment.violations().empty() && is_served &&
+                          environment.outdated_proxies() == 0;
+  return has_passed ? kExitOk : kExitViolations;
 }
 
 }  // namespace
@@ -76,6 +82,10 @@
                  "Number of times that the store is restored from a backup")
       ->check(CLI::Range(0, 100))
       ->capture_default_str();
+  app.add_option("--silences", options.silences,
+                 "Number of times that open connections fall silent")
+      ->check(CLI::Range(0, 100))
+      ->capture_default_str();
   app.add_option("--sync-replicas", options.synchronous_replicas,
                  "Replicas that must have a commit before it is acknowledged")
       ->check(CLI::Range(0, 2))
