--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -584,7 +584,7 @@
     // The limit in docs/CAPACITY.md is 10 KB a second.
     CHECK(cluster.traffic().MaximumForControl().bytes < 20 * 10000);
     // Two readers in each of three places, each with a long poll of 1.2 s and
-    // two of 2.4 s, which is as many calls as three of 1.8 s.
+    // two of 2.2 s. Three of 1.8 s each are allowed.
     CHECK(cluster.traffic().store_calls() < 2 * 3 * 3 * 20 / 1.8 + 20);
     CHECK(FirstViolation(cluster) == "");
   }
