--- a/Libraries/LibWire/http_client.cc
+++ b/Libraries/LibWire/http_client.cc
@@ -1,7 +1,6 @@
 #include "LibWire/http_client.h"
 
 #include <cpprest/http_client.h>
-#include <netinet/tcp.h>
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +10,8 @@
 #include <system_error>
 #include <utility>
 
+#include "LibWire/tcp_detail.h"
+
 namespace kingcupmill {
 
 using boost::asio::ip::tcp;
@@ -28,14 +29,6 @@
 // which may outlive it.
 using ConnectionCounter = std::shared_ptr<std::atomic<uint64_t>>;
 
-template <int kOption>
-void SetTcpOption(tcp::socket& socket, int value) {
-  using Option =
-      boost::asio::detail::socket_option::integer<IPPROTO_TCP, kOption>;
-  boost::system::error_code ignored;
-  socket.set_option(Option(value), ignored);
-}
-
 void EnableKeepAlive(tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
--- a/Libraries/LibWire/line_connection.cc
+++ b/Libraries/LibWire/line_connection.cc
@@ -1,6 +1,5 @@
 #include "LibWire/line_connection.h"
 
-#include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
 
 #include <array>
@@ -12,8 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
-#include "LibCore/port.h"
 #include "LibWire/event_loop.h"
+#include "LibWire/tcp_detail.h"
 
 namespace kingcupmill {
 
@@ -37,28 +36,6 @@
 // descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
 
-bool ParseEndpoint(const std::string& address, tcp::endpoint& endpoint) {
-  const size_t colon = address.rfind(':');
-  if (colon == std::string::npos)
-    return false;
-  error_code error;
-  const auto ip =
-      boost::asio::ip::make_address(address.substr(0, colon), error);
-  const auto port = ParsePort(std::string_view(address).substr(colon + 1));
-  if (error || !port)
-    return false;
-  endpoint = tcp::endpoint(ip, *port);
-  return true;
-}
-
-template <int kOption>
-void SetTcpOption(tcp::socket& socket, int value) {
-  using Option =
-      boost::asio::detail::socket_option::integer<IPPROTO_TCP, kOption>;
-  error_code ignored;
-  socket.set_option(Option(value), ignored);
-}
-
 void SetOptions(tcp::socket& socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
