--- a/Libraries/LibArrangement/arrangement_parser_test.cc
+++ b/Libraries/LibArrangement/arrangement_parser_test.cc
@@ -73,6 +73,7 @@
   // that it does not occur.
   SUBCASE("a table header that is cut short") {
     CHECK(has_message(ErrorsOf("[\n"), "malformed"));
+    CHECK(ErrorsOf("a = 1\n[\nb = 2\n").front().location.line == 2);
     CHECK(has_message(ErrorsOf("a = 1\n[\x01"), "malformed"));
   }
   SUBCASE("a reference to an undeclared place") {
--- a/Libraries/LibToml/toml_section.cc
+++ b/Libraries/LibToml/toml_section.cc
@@ -51,7 +51,7 @@
   for (size_t end = text.find('\n'); end != std::string_view::npos;
        end = text.find('\n', end + 1)) {
     try {
-      std::ignore = toml::parse(text.substr(0, end));
+      std::ignore = toml::parse(text.substr(0, end + 1));
     } catch (const toml::parse_error&) {
       // The error may be that the document ends here.
     } catch (const std::logic_error&) {
