LibDirectory, LibPeer, LibGateway: Name the customer of a request

Deployments with customers need the customer of each statement at the home that runs it and in the startup message to a target. Adds the table of declared customers, the customer in dispatch requests, forwarded statements and borrowed connections, and in the startup message. Without customers nothing on the wire changes: the new fields are left out.

--- a/Libraries/LibCore/names.h
+++ b/Libraries/LibCore/names.h
@@ -26,6 +26,8 @@
 using TargetName = Name<struct TargetNameTag>;
 using ApplicationName = Name<struct ApplicationNameTag>;
 using VmName = Name<struct VmNameTag>;
+// A customer whose callers share its limits and its connections to targets.
+using CustomerName = Name<struct CustomerNameTag>;
 // The idempotency key of one request of a caller.
 using RequestId = Name<struct RequestIdTag>;
 // Identifies one interactive transaction.
--- a/Libraries/LibDirectory/Forward.h
+++ b/Libraries/LibDirectory/Forward.h
@@ -6,9 +6,12 @@
 enum class RouteKind;
 enum class TargetState;
 struct CallerRoute;
+struct CustomerDeclaration;
 struct GroupDeclaration;
 struct RouteTable;
 struct TargetEntry;
+struct UsageLimit;
+class CustomerTable;
 class TargetDirectory;
 
 }  // namespace kingcupmill
--- a/Libraries/LibDirectory/route_table.h
+++ b/Libraries/LibDirectory/route_table.h
@@ -7,6 +7,7 @@
 
 #include "LibCore/names.h"
 #include "LibCore/time.h"
+#include "LibDirectory/customer_table.h"
 
 namespace kingcupmill {
 
@@ -32,6 +33,8 @@
   int priority = 0;
   // The staleness bound of reads; not used with kPrimary.
   Duration maximum_staleness{};
+  // Callers need no key, although customers are declared.
+  bool is_open = false;
   friend bool operator==(const CallerRoute&, const CallerRoute&) = default;
 };
 
@@ -50,6 +53,8 @@
   Revision revision;
   std::map<std::string, CallerRoute, std::less<>> route_by_database;
   std::map<GroupName, GroupDeclaration> groups;
+  // Empty when the deployment declares no customers.
+  CustomerTable customers;
   // An open transaction that is idle for longer may be rolled back.
   Duration transaction_idle_limit = std::chrono::seconds(3);
 };
--- a/Libraries/LibDispatch/dispatch_request.h
+++ b/Libraries/LibDispatch/dispatch_request.h
@@ -19,6 +19,14 @@
 // A statement outside a transaction, or the start of a transaction.
 struct DispatchRequest {
   CallerRoute route;
+  // The customer of the caller; empty where no customers are declared or the
+  // caller of an open route has no key.
+  CustomerName customer;
+  // The customer's declared priority; 0 is the most urgent.
+  int customer_priority = 0;
+  // The customer's share under overload in relation to other customers; its
+  // declared rate, or 1 without one.
+  double customer_weight = 1;
   TargetCommand command;
   // The id of the caller's statement, for the log. It is empty for the start of
   // a transaction, which is the proxy's own command.
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -126,6 +126,13 @@
       refreshed_tables{{{&this->configuration, kLongPollLimits},
                         {&this->targets, kLongPollLimits},
                         {&this->coordination, kCoordinationLimits}}},
+      table_copies(TableCopies::Context{
+          dependencies.scheduler, this->configuration, this->targets,
+          this->coordination,
+          [this](const GroupName& group) {
+            return this->FindDispatcher(group);
+          },
+          [this] { return this->PositionSampleCopies(); }}),
       leases(kLeaseTerms.length, kLeaseTerms.maximum_length),
       home_assignment(this->options.peer_address),
       home_chooser(this->options.place, this->options.random_seed + 3),
@@ -142,14 +149,14 @@
                   }),
       copy_server(dependencies.scheduler,
                   [this](const StoreCopyQuery& query) {
-                    return this->MakeCopies(query);
+                    return this->table_copies.Make(query);
                   }),
       copy_poller(
           dependencies.scheduler,
           dependencies.peers,
-          [this] { return this->CachedVersions(); },
+          [this] { return this->table_copies.CachedVersions(); },
           [this](const StoreCopyAnswer& answer, TimePoint requested_at) {
-            this->ApplyCopies(answer, requested_at);
+            this->table_copies.Apply(answer, requested_at);
           }),
       forward_server(
           dependencies.scheduler,
@@ -653,14 +660,14 @@
       other, age_ms(this->configuration), age_ms(this->targets),
       age_ms(this->coordination));
   StoreCopyQuery query;
-  query.versions = this->CachedVersions();
+  query.versions = this->table_copies.CachedVersions();
   this->dependencies.peers.Ask(
       other, query, kCopyTimeout,
       this->life.Wrap([this, now](std::optional<PeerAnswer> answer) {
         if (!answer)
           return;
         if (const auto* copies = std::get_if<StoreCopyAnswer>(&*answer))
-          this->ApplyCopies(*copies, now);
+          this->table_copies.Apply(*copies, now);
       }));
 }
 
@@ -748,36 +755,9 @@
   return answer;
 }
 
-std::vector<uint64_t> Gateway::CachedVersions() const {
-  return {this->configuration.version().value_or(0),
-          this->targets.version().value_or(0),
-          this->coordination.version().value_or(0)};
-}
-
-StoreCopyAnswer Gateway::MakeCopies(const StoreCopyQuery& query) const {
+std::vector<PositionSampleCopy> Gateway::PositionSampleCopies() const {
   const TimePoint now = this->dependencies.scheduler.Now();
-  StoreCopyAnswer answer;
-  size_t index = 0;
-  for (const auto& [name, cache] :
-       {std::pair(this->dependencies.codec.configuration_table(),
-                  &this->configuration),
-        std::pair(this->dependencies.codec.targets_table(), &this->targets),
-        std::pair(std::string(CoordinationView::kTable),
-                  &this->coordination)}) {
-    const uint64_t known =
-        index < query.versions.size() ? query.versions[index] : 0;
-    ++index;
-    if (!cache->version())
-      continue;
-    TableCopy copy;
-    copy.table = name;
-    copy.version = *cache->version();
-    copy.age = now - cache->read_at();
-    if (const auto since = cache->available_since())
-      copy.available_for = now - *since;
-    copy.delta = cache->ChangesSince(known);
-    answer.tables.push_back(std::move(copy));
-  }
+  std::vector<PositionSampleCopy> copies;
   for (const auto& [group, dispatcher] : this->dispatchers) {
     const auto newest = dispatcher->position_samples().newest_at();
     if (!newest)
@@ -785,41 +765,9 @@
     const auto position =
         dispatcher->position_samples().PositionCovering(*newest, Term{});
     if (position)
-      answer.position_samples.push_back(
-          PositionSampleCopy{group, *position, now - *newest});
-  }
-  return answer;
-}
-
-void Gateway::ApplyCopies(const StoreCopyAnswer& answer,
-                          TimePoint requested_at) {
-  // The peer received the query after it was sent and held it; the ages in its
-  // answer are as of the end of that. This makes the copies look older than
-  // they are, never newer.
-  const TimePoint made_at = requested_at + answer.held;
-  const std::map<std::string, TableCache*> caches = {
-      {this->dependencies.codec.configuration_table(), &this->configuration},
-      {this->dependencies.codec.targets_table(), &this->targets},
-      {std::string(CoordinationView::kTable), &this->coordination}};
-  for (const TableCopy& copy : answer.tables) {
-    const auto cache = caches.find(copy.table);
-    if (cache == caches.end())
-      continue;
-    const TimePoint read_at = made_at - copy.age;
-    std::optional<TimePoint> available_since;
-    if (copy.available_for)
-      available_since =
-          this->dependencies.scheduler.Now() - *copy.available_for;
-    cache->second->SetAvailableSince(available_since);
-    if (copy.delta)
-      cache->second->ApplyDelta(*copy.delta, read_at);
-    else
-      cache->second->ConfirmVersion(copy.version, read_at);
-  }
-  for (const PositionSampleCopy& sample : answer.position_samples) {
-    if (GroupDispatcher* dispatcher = this->FindDispatcher(sample.group))
-      dispatcher->AddPositionSample(sample.position, made_at - sample.age);
+      copies.push_back(PositionSampleCopy{group, *position, now - *newest});
   }
+  return copies;
 }
 
 bool Gateway::StopPrimary(const PrimaryRecord& record) {
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -32,6 +32,7 @@
 #include "LibGateway/refresh_timing.h"
 #include "LibGateway/store_copy_poller.h"
 #include "LibGateway/store_copy_server.h"
+#include "LibGateway/table_copies.h"
 #include "LibMembership/connection_shares.h"
 #include "LibPeer/peer_links.h"
 #include "LibPrimary/primary_leases.h"
@@ -174,9 +175,8 @@
                          const PromiseAnswer& answer,
                          TimePoint asked_at);
   PromiseAnswer MakePromise();
-  void ApplyCopies(const StoreCopyAnswer& answer, TimePoint requested_at);
-  StoreCopyAnswer MakeCopies(const StoreCopyQuery& query) const;
-  std::vector<uint64_t> CachedVersions() const;
+  // Returns the newest known log position of each group's primary.
+  std::vector<PositionSampleCopy> PositionSampleCopies() const;
   bool StopPrimary(const PrimaryRecord& record);
   ClosePrimaryAnswer HandleClose(const ClosePrimaryQuery& query);
   HealthAnswer HandleHealth(const HealthQuery& query);
@@ -215,6 +215,7 @@
   TableCache targets;
   TableCache coordination;
   std::array<RefreshedTable, 3> refreshed_tables;
+  TableCopies table_copies;
   CoordinationView view;
   PrimaryLeases leases;
   LeasePromises promises;
--- a/Libraries/LibLink/target_channel.h
+++ b/Libraries/LibLink/target_channel.h
@@ -29,6 +29,9 @@
   TargetName target;
   // "IP:port".
   std::string address;
+  // The customer under whose name a connection is opened; empty to open it
+  // under the name of this VM.
+  CustomerName customer = {};
   friend bool operator==(const TargetEndpoint&,
                          const TargetEndpoint&) = default;
 };
--- a/Libraries/LibPeer/forward_query.cc
+++ b/Libraries/LibPeer/forward_query.cc
@@ -43,11 +43,17 @@
 }  // namespace
 
 json ToJson(const ForwardQuery& query) {
-  return json::array({query.name, ToJson(query.route), ToJson(query.command),
-                      query.needs_primary, query.is_write,
-                      query.opens_transaction, ToJson(query.values),
-                      ToJson(query.session_point), query.waited.count(),
-                      query.statement_id});
+  json value =
+      json::array({query.name, ToJson(query.route), ToJson(query.command),
+                   query.needs_primary, query.is_write, query.opens_transaction,
+                   ToJson(query.values), ToJson(query.session_point),
+                   query.waited.count(), query.statement_id});
+  if (!query.customer.value.empty()) {
+    value.push_back(query.customer.value);
+    value.push_back(query.customer_priority);
+    value.push_back(query.customer_weight);
+  }
+  return value;
 }
 
 ForwardQuery ForwardQueryFromJson(const json& value) {
@@ -62,6 +68,12 @@
   query.session_point = PointFromJson(value.at(7));
   query.waited = Duration(value.at(8).get<int64_t>());
   query.statement_id = value.at(9);
+  // Absent without customers, and from earlier versions of this program.
+  if (value.size() > 12) {
+    query.customer.value = value.at(10);
+    query.customer_priority = value.at(11);
+    query.customer_weight = value.at(12);
+  }
   return query;
 }
 
--- a/Libraries/LibPeer/forward_query.h
+++ b/Libraries/LibPeer/forward_query.h
@@ -22,6 +22,11 @@
   // the transaction that is started.
   std::string name;
   CallerRoute route;
+  // The customer of the caller with its priority and weight, as in
+  // DispatchRequest; empty where no customers are declared.
+  CustomerName customer;
+  int customer_priority = 0;
+  double customer_weight = 1;
   TargetCommand command;
   // The request id of the caller's statement, for the log.
   std::string statement_id;
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -147,8 +147,11 @@
     return json::array({kHealthQuery, query.group.value});
   }
   json operator()(const BorrowQuery& query) const {
-    return json::array(
+    json body = json::array(
         {kBorrowQuery, query.loan, query.group.value, query.target.value});
+    if (!query.customer.value.empty())
+      body.push_back(query.customer.value);
+    return body;
   }
   json operator()(const RelayQuery& query) const {
     json commands = json::array();
@@ -332,6 +335,12 @@
   return query;
 }
 
+// Reads a customer at this place of an array. It is absent where no customers
+// are declared.
+CustomerName CustomerFromJson(const json& body, size_t place) {
+  return body.size() > place ? CustomerName{body.at(place)} : CustomerName{};
+}
+
 RelayQuery RelayQueryFromJson(const json& body) {
   RelayQuery query;
   query.loan = body.at(1);
@@ -363,9 +372,10 @@
     case kClosePrimaryAnswer:
       return NumberedAnswer{number, ClosePrimaryAnswerFromJson(body)};
     case kBorrowQuery:
-      return NumberedQuery{number,
-                           BorrowQuery{body.at(1), GroupName{body.at(2)},
-                                       TargetName{body.at(3)}}};
+      return NumberedQuery{
+          number,
+          BorrowQuery{body.at(1), GroupName{body.at(2)}, TargetName{body.at(3)},
+                      CustomerFromJson(body, 4)}};
     case kRelayQuery:
       return NumberedQuery{number, RelayQueryFromJson(body)};
     case kReturnQuery:
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -136,6 +136,9 @@
   std::string loan;
   GroupName group;
   TargetName target;
+  // The customer under whose name the connection must have been opened; empty
+  // for any connection.
+  CustomerName customer = {};
 };
 
 struct BorrowAnswer {
--- a/Libraries/LibRelay/forward_server.cc
+++ b/Libraries/LibRelay/forward_server.cc
@@ -46,6 +46,9 @@
     session_context->Set(name, value);
   DispatchRequest request;
   request.route = query.route;
+  request.customer = query.customer;
+  request.customer_priority = query.customer_priority;
+  request.customer_weight = query.customer_weight;
   request.command = query.command;
   request.statement_id = query.statement_id;
   request.needs_primary = query.needs_primary;
--- a/Libraries/LibRelay/forwarding_dispatcher.cc
+++ b/Libraries/LibRelay/forwarding_dispatcher.cc
@@ -212,6 +212,9 @@
   query.name = this->context.query_name_prefix + "." +
                std::to_string(this->next_query++);
   query.route = request.route;
+  query.customer = request.customer;
+  query.customer_priority = request.customer_priority;
+  query.customer_weight = request.customer_weight;
   query.command = request.command;
   query.statement_id = request.statement_id;
   query.needs_primary = request.needs_primary;
--- a/Libraries/LibRelay/relay_dialer.cc
+++ b/Libraries/LibRelay/relay_dialer.cc
@@ -38,7 +38,9 @@
       return;
     }
     dialer.peers.Ask(
-        this->lender, BorrowQuery{this->loan, endpoint.group, endpoint.target},
+        this->lender,
+        BorrowQuery{this->loan, endpoint.group, endpoint.target,
+                    endpoint.customer},
         kBorrowTimeout,
         this->life.Wrap([this](const std::optional<PeerAnswer>& answer) {
           this->DidBorrow(answer);
--- a/Libraries/LibTables/table_cache.h
+++ b/Libraries/LibTables/table_cache.h
@@ -45,6 +45,9 @@
 
   void Start();
 
+  // The name of the table in the store.
+  const std::string& table() const { return this->options.table; }
+
   // Whether the table is read from the store or copied from a peer.
   enum class Source { kStore, kPeer };
   // Starts or stops reading the store. The answer to an outstanding read is
