--- a/Libraries/LibDirectory/customer_table.h
+++ b/Libraries/LibDirectory/customer_table.h
@@ -12,8 +12,10 @@
 
 namespace kingcupmill {
 
-// The declared customers and the keys that identify their callers. Keys are
-// secrets: they are never logged and never sent to targets or other proxies.
+// The declared customers and the keys that identify their callers. On the
+// platform these are digests of the keys that the callers send, so that the
+// keys themselves are not kept. They are never logged and never sent to
+// targets.
 class CustomerTable {
  public:
   // Adds a customer. Fails with kInvalidInput, and changes nothing, if the name
