LibGateway, platform: Check the key of each session

A caller names its key as the last field of the startup message. Each statement outside a transaction and each start of a transaction looks up the key in the newest configuration, and the request names the customer that was found.

When a key is removed, an idle session is closed, a transaction is rolled back between two statements, and the caller is told with its next statement before the session is closed. A transaction is also rolled back when its key moves to another customer, because its connection was opened under the name of the former one.

The new error code has the last number, so that the numbers that older builds know stay the same.

--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -401,17 +401,18 @@
 
 std::optional<EmulatedNode::SessionNumber> EmulatedNode::OpenSession(
     CallerChannel& channel,
-    const std::string& database) {
+    const std::string& database,
+    const std::string& key) {
   if (!this->process)
     return std::nullopt;
   if (!this->process->gateway.accepts_sessions())
     return std::nullopt;
-  auto session = this->process->gateway.OpenSession(channel, database);
+  auto session = this->process->gateway.OpenSession(channel, database, key);
   if (!session)
     return std::nullopt;
   const SessionNumber number = this->next_session++;
   this->process->sessions.emplace(
-      number, Process::OpenCaller{&channel, std::move(session)});
+      number, Process::OpenCaller{&channel, std::move(*session)});
   return number;
 }
 
--- a/Libraries/LibEmulator/emulated_node.h
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -85,10 +85,11 @@
 
   // Sessions of callers, which end with the process.
   using SessionNumber = uint64_t;
-  // Returns nothing when the process is down, accepts no sessions or does not
-  // know the database.
+  // Returns nothing when the process is down, accepts no sessions, or does not
+  // know the database or the key.
   std::optional<SessionNumber> OpenSession(CallerChannel& channel,
-                                           const std::string& database);
+                                           const std::string& database,
+                                           const std::string& key = {});
   bool has_session(SessionNumber number) const;
   void SendTo(SessionNumber number, CallerStatement statement);
   void CloseSession(SessionNumber number);
--- a/Libraries/LibGateway/Forward.h
+++ b/Libraries/LibGateway/Forward.h
@@ -7,7 +7,9 @@
 class Gateway;
 class GatewayMetrics;
 class GatewaySession;
+class SessionAuthorizer;
 class SessionHost;
+struct SessionCustomer;
 
 }  // namespace kingcupmill
 
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -134,6 +134,7 @@
           },
           [this] { return this->PositionSampleCopies(); }}),
       leases(kLeaseTerms.length, kLeaseTerms.maximum_length),
+      authorizer(this->routes, this->event_log),
       home_assignment(this->options.peer_address),
       home_chooser(this->options.place, this->options.random_seed + 3),
       relay_dialer(
@@ -259,15 +260,22 @@
   return this->routes ? this->routes->revision : Revision{};
 }
 
-std::unique_ptr<GatewaySession> Gateway::OpenSession(
-    CallerChannel& channel,
-    std::string_view database) {
+tl::expected<std::unique_ptr<GatewaySession>, StatementError>
+Gateway::OpenSession(CallerChannel& channel,
+                     std::string_view database,
+                     std::string_view key) {
+  if (!this->authorizer.Identify(database, key)) {
+    this->authorizer.DidRefuseSession();
+    return tl::make_unexpected(
+        StatementError{StatementErrorCode::kNotAuthorized, "unknown key"});
+  }
   if (!this->FindRoute(database))
-    return nullptr;
+    return tl::make_unexpected(
+        StatementError{StatementErrorCode::kNoDatabase, std::string(database)});
   const uint64_t number = this->next_session++;
-  auto session =
-      std::make_unique<GatewaySession>(this->dependencies.scheduler, *this,
-                                       channel, std::string(database), number);
+  auto session = std::make_unique<GatewaySession>(
+      this->dependencies.scheduler, *this, channel, std::string(database),
+      std::string(key), number);
   this->sessions.emplace(number, SessionEntry{session.get(), &channel});
   return session;
 }
@@ -348,16 +356,23 @@
   // An older revision never replaces a newer one.
   if (this->routes && decoded->revision <= this->routes->revision)
     return;
-  spdlog::info("event=configuration revision={} routes={} groups={} source={}",
-               decoded->revision.value, decoded->route_by_database.size(),
-               decoded->groups.size(),
-               this->configuration.updated_from() == TableCache::Source::kStore
-                   ? "store"
-                   : "copy");
+  spdlog::info(
+      "event=configuration revision={} routes={} groups={} customers={} "
+      "source={}",
+      decoded->revision.value, decoded->route_by_database.size(),
+      decoded->groups.size(), decoded->customers.declarations().size(),
+      this->configuration.updated_from() == TableCache::Source::kStore
+          ? "store"
+          : "copy");
   this->routes = std::move(*decoded);
   this->UpdateAssignmentGroups();
   this->UpdateDispatchers();
   this->copy_server.DidRead();
+  const auto open = this->sessions;
+  for (const auto& [number, caller] : open) {
+    if (this->sessions.contains(number))
+      caller.session->DidChangeConfiguration();
+  }
 }
 
 void Gateway::DidReadTargets() {
@@ -962,7 +977,7 @@
 
 std::string Gateway::FormatMetrics() const {
   const TimePoint now = this->dependencies.scheduler.Now();
-  std::string text = this->metrics.Format();
+  std::string text = this->metrics.Format() + this->authorizer.FormatMetrics();
   text += fmt::format(
       "kingcupmill_revision {}\nkingcupmill_sessions {}\n"
       "kingcupmill_store_silence_seconds {:.3f}\n"
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -18,6 +18,7 @@
 #include "LibCoordination/member_registration.h"
 #include "LibCoordination/member_watch.h"
 #include "LibCoordination/roster_keeper.h"
+#include "LibCore/error.h"
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/random_source.h"
 #include "LibCore/scheduler.h"
@@ -30,6 +31,7 @@
 #include "LibGateway/home_assignment.h"
 #include "LibGateway/isolation_detector.h"
 #include "LibGateway/refresh_timing.h"
+#include "LibGateway/session_authorizer.h"
 #include "LibGateway/store_copy_poller.h"
 #include "LibGateway/store_copy_server.h"
 #include "LibGateway/table_copies.h"
@@ -92,10 +94,13 @@
   // Whether a session may be opened. False in the second half of a drain.
   bool accepts_sessions() const;
 
-  // Opens a session on `database`, or returns null if no route is configured
-  // for it. The owner calls DidCloseSession() before it destroys the session.
-  std::unique_ptr<GatewaySession> OpenSession(CallerChannel& channel,
-                                              std::string_view database);
+  // Opens a session on `database`. Fails if the key is not valid there or if no
+  // route is configured for the database. The owner calls DidCloseSession()
+  // before it destroys the session.
+  tl::expected<std::unique_ptr<GatewaySession>, StatementError> OpenSession(
+      CallerChannel& channel,
+      std::string_view database,
+      std::string_view key);
   void DidCloseSession(const GatewaySession& session);
 
   // Answers a query from another proxy, at once or later.
@@ -113,6 +118,7 @@
   // SessionHost:
   const CallerRoute* FindRoute(std::string_view database) const override;
   RequestDispatcher* FindRequestDispatcher(const GroupName& group) override;
+  SessionAuthorizer& session_authorizer() override { return this->authorizer; }
   Duration transaction_idle_limit() const override;
   bool accepts_transactions() const override;
   bool accepts_statement(const CallerRoute& route) const override;
@@ -221,6 +227,7 @@
   LeasePromises promises;
   TargetDirectory directory;
   std::optional<RouteTable> routes;
+  SessionAuthorizer authorizer;
   HomeAssignment home_assignment;
   std::vector<HomeAssignment::Group> assignment_groups;
   // The groups of which this proxy is or will be a home.
--- a/Libraries/LibGateway/gateway_metrics.h
+++ b/Libraries/LibGateway/gateway_metrics.h
@@ -22,7 +22,7 @@
  private:
   // One more than the error codes, for success.
   static constexpr size_t kOutcomes =
-      static_cast<size_t>(StatementErrorCode::kOther) + 2;
+      static_cast<size_t>(StatementErrorCode::kNotAuthorized) + 2;
 
   std::array<uint64_t, kOutcomes> answers{};
   LatencySummary latency;
--- a/Libraries/LibGateway/gateway_session.cc
+++ b/Libraries/LibGateway/gateway_session.cc
@@ -12,6 +12,9 @@
 
 constexpr const char* kShuttingDownMessage =
     "the proxy is shutting down; retry after 0 ms";
+constexpr const char* kKeyRemovedMessage = "the key is no longer valid";
+constexpr const char* kKeyMovedMessage =
+    "the key belongs to another customer now";
 
 }  // namespace
 
@@ -19,11 +22,13 @@
                                SessionHost& host,
                                CallerChannel& channel,
                                std::string database,
+                               std::string key,
                                uint64_t number)
     : scheduler(scheduler),
       host(host),
       channel(channel),
       database(std::move(database)),
+      key(std::move(key)),
       session_number(number) {}
 
 GatewaySession::~GatewaySession() {
@@ -93,6 +98,8 @@
 
 void GatewaySession::HandleOutsideTransaction(
     const CallerStatement& statement) {
+  if (!this->Identify())
+    return this->RefuseLastStatement(StatementErrorCode::kNotAuthorized);
   if (this->HandleSessionStatement(statement))
     return;
   switch (statement.kind) {
@@ -121,6 +128,8 @@
 }
 
 void GatewaySession::HandleInTransaction(const CallerStatement& statement) {
+  if (!this->Identify())
+    return this->RefuseLastStatement(StatementErrorCode::kAborted);
   const bool is_commit = statement.kind == StatementKind::kCommit;
   if (statement.kind == StatementKind::kRollback) {
     this->EndTransaction();
@@ -218,8 +227,12 @@
       this->host.FindRequestDispatcher(route->group);
   if (!dispatcher)
     return this->AnswerError(StatementErrorCode::kBusy, "no targets");
+  const auto customer = this->Identify();
+  if (!customer)
+    return this->RefuseLastStatement(StatementErrorCode::kNotAuthorized);
   DispatchRequest request;
   request.route = *route;
+  SetCustomer(request, *customer);
   request.command = this->CommandFor(statement);
   request.statement_id = statement.id;
   request.is_write = access == StatementAccess::kWrite;
@@ -261,8 +274,13 @@
     this->EndTransaction();
     return this->AnswerError(StatementErrorCode::kBusy, "no targets");
   }
+  const auto customer = this->Identify();
+  if (!customer)
+    return this->RefuseLastStatement(StatementErrorCode::kAborted);
   DispatchRequest request;
   request.route = *route;
+  SetCustomer(request, *customer);
+  this->transaction_customer = customer->name;
   request.command.kind = this->is_read_only ? TargetCommandKind::kBeginRead
                                             : TargetCommandKind::kBegin;
   request.needs_primary =
@@ -362,6 +380,70 @@
                     "the proxy ended before the answer came");
 }
 
+std::optional<SessionCustomer> GatewaySession::Identify() const {
+  return this->host.session_authorizer().Identify(this->database, this->key);
+}
+
+void GatewaySession::SetCustomer(DispatchRequest& request,
+                                 const SessionCustomer& customer) {
+  request.customer = customer.name;
+  request.customer_priority = customer.priority;
+  request.customer_weight = customer.weight;
+}
+
+bool GatewaySession::is_transaction_allowed() const {
+  const auto customer = this->Identify();
+  return customer && customer->name == this->transaction_customer;
+}
+
+void GatewaySession::DidChangeConfiguration() {
+  const bool is_starting = this->current && this->request_dispatcher &&
+                           this->state == SessionState::kInTransaction;
+  if (!is_starting)
+    return this->ApplyAuthorization();
+  if (this->is_transaction_allowed())
+    return;
+  // No statement of the transaction has run, so it need not be waited for.
+  std::exchange(this->request_dispatcher, nullptr)
+      ->Cancel(this->request_number);
+  if (!this->Identify())
+    return this->RefuseLastStatement(StatementErrorCode::kAborted);
+  const bool is_commit = this->current->kind == StatementKind::kCommit;
+  this->EndTransaction();
+  if (!is_commit)
+    this->state = SessionState::kFailedTransaction;
+  this->AnswerError(StatementErrorCode::kAborted, kKeyMovedMessage);
+}
+
+void GatewaySession::RefuseLastStatement(StatementErrorCode code) {
+  this->EndTransaction();
+  this->abort_reason.reset();
+  this->queued_statements.clear();
+  this->AnswerError(code, kKeyRemovedMessage);
+}
+
+void GatewaySession::ApplyAuthorization() {
+  // A running statement is answered first.
+  if (this->current)
+    return;
+  if (this->state == SessionState::kIdle) {
+    if (this->queued_statements.empty() && !this->Identify())
+      this->PostClose();
+    return;
+  }
+  if (this->transaction && !this->is_transaction_allowed())
+    this->AbortIdleTransaction(this->Identify() ? kKeyMovedMessage
+                                                : kKeyRemovedMessage);
+}
+
+void GatewaySession::PostClose() {
+  if (std::exchange(this->is_closing, true))
+    return;
+  this->host.session_authorizer().DidCloseSession(this->session_number);
+  // Closing may destroy the session, which is on the call stack.
+  this->scheduler.Post(this->life.Wrap([this] { this->channel.Close(); }));
+}
+
 void GatewaySession::EndTransaction() {
   this->transaction.reset();
   this->state = SessionState::kIdle;
@@ -386,6 +468,7 @@
   this->current.reset();
   this->host.DidAnswerCaller(statement, answer, this->received_at);
   this->channel.Send(answer);
+  this->ApplyAuthorization();
   this->RestartIdleTimer();
   // The next statement starts from the event loop, so that a series of
   // statements that are answered here does not recurse.
--- a/Libraries/LibGateway/gateway_session.h
+++ b/Libraries/LibGateway/gateway_session.h
@@ -15,6 +15,7 @@
 #include "LibDispatch/caller_transaction.h"
 #include "LibDispatch/request_dispatcher.h"
 #include "LibGateway/caller_channel.h"
+#include "LibGateway/session_authorizer.h"
 #include "LibStatement/caller_statement.h"
 #include "LibStatement/session_context.h"
 
@@ -29,6 +30,7 @@
   // Returns the dispatcher of a group, which sends requests to its targets or
   // forwards them to a home, or null while the group has none.
   virtual RequestDispatcher* FindRequestDispatcher(const GroupName& group) = 0;
+  virtual SessionAuthorizer& session_authorizer() = 0;
   virtual Duration transaction_idle_limit() const = 0;
   // Whether a transaction may begin now.
   virtual bool accepts_transactions() const = 0;
@@ -48,6 +50,7 @@
                  SessionHost& host,
                  CallerChannel& channel,
                  std::string database,
+                 std::string key,
                  uint64_t number);
   ~GatewaySession();
 
@@ -63,6 +66,11 @@
   bool can_close() const;
   bool is_in_transaction() const { return this->state != SessionState::kIdle; }
 
+  // A new configuration is in force. If the session's key is no longer valid,
+  // rolls back the transaction and closes the session as soon as the caller has
+  // been told; a statement that is already running is answered first.
+  void DidChangeConfiguration();
+
   // Rolls back the open transaction unless it is running a statement. The next
   // statement, unless it is a rollback, fails with `reason`.
   void AbortIdleTransaction(const char* reason);
@@ -90,6 +98,21 @@
   // Returns the route if a statement may begin on it. Otherwise answers the
   // current statement with an error and returns null.
   const CallerRoute* FindUsableRoute();
+  // Looks up the key in the newest configuration.
+  std::optional<SessionCustomer> Identify() const;
+  // Fills in the customer of a request.
+  static void SetCustomer(DispatchRequest& request,
+                          const SessionCustomer& customer);
+  // Whether the open transaction may go on: the key is valid and still belongs
+  // to the customer under whose name the transaction's connection was opened.
+  bool is_transaction_allowed() const;
+  // Ends the transaction and answers the current statement, which is the last
+  // one, because the key is no longer valid.
+  void RefuseLastStatement(StatementErrorCode code);
+  // Between two statements: rolls back a transaction that is no longer allowed,
+  // and closes an idle session whose key is no longer valid.
+  void ApplyAuthorization();
+  void PostClose();
   void Answer(StatementAnswer answer);
   void AnswerDone();
   void AnswerError(StatementErrorCode code, std::string message);
@@ -101,6 +124,8 @@
   SessionHost& host;
   CallerChannel& channel;
   std::string database;
+  // As the caller server passed it; never logged.
+  std::string key;
   uint64_t session_number;
   std::shared_ptr<SessionContext> session_context =
       std::make_shared<SessionContext>();
@@ -108,6 +133,10 @@
   // The caller declared the transaction read-only.
   bool is_read_only = false;
   std::unique_ptr<CallerTransaction> transaction;
+  // The customer for which the transaction was started, or is being started.
+  CustomerName transaction_customer;
+  // The session is about to be closed because of its key.
+  bool is_closing = false;
   // Why the transaction was rolled back, until the caller has been told.
   std::optional<std::string> abort_reason;
   std::optional<LogPoint> last_commit;
--- a/Libraries/LibPeer/peer_json.cc
+++ b/Libraries/LibPeer/peer_json.cc
@@ -63,7 +63,8 @@
   answer.receipt = value.at(1);
   if (const json& error = value.at(2); !error.is_null())
     answer.error = StatementError{
-        EnumFromJson(error.at(0), StatementErrorCode::kOther), error.at(1)};
+        EnumFromJson(error.at(0), StatementErrorCode::kNotAuthorized),
+        error.at(1)};
   answer.state = EnumFromJson(value.at(3), SessionState::kFailedTransaction);
   answer.position = PointFromJson(value.at(4));
   if (const json& report = value.at(5); !report.is_null())
--- a/Libraries/LibStatement/error_names.cc
+++ b/Libraries/LibStatement/error_names.cc
@@ -30,6 +30,8 @@
       return "malformed";
     case StatementErrorCode::kOther:
       return "other";
+    case StatementErrorCode::kNotAuthorized:
+      return "not_authorized";
   }
   return "other";
 }
--- a/Libraries/LibStatement/statement_answer.h
+++ b/Libraries/LibStatement/statement_answer.h
@@ -33,6 +33,9 @@
   // Any other error code of a target. The statement may or may not have had an
   // effect.
   kOther,
+  // The caller's key is not valid; nothing ran. The codes are numbers in the
+  // messages between proxies, so new ones go to the end.
+  kNotAuthorized,
 };
 
 struct StatementError {
