LibLink, LibDispatch, LibRelay: Open connections to targets for customers

A target knows each connection under the name of one customer, so a home shares its four connections to a target among all customers. Connections now carry the customer they were opened for, and a statement runs only on one of its own customer's. Loans name the customer, and a forwarding proxy sends the statements of a customer to the same home in its place.

--- /dev/null
+++ b/Libraries/LibDispatch/connection_provider.h
@@ -0,0 +1,49 @@
+#ifndef LIBDISPATCH_CONNECTION_PROVIDER_H_
+#define LIBDISPATCH_CONNECTION_PROVIDER_H_
+
+#include <cstddef>
+#include <map>
+#include <span>
+
+#include "LibCore/names.h"
+#include "LibCore/time.h"
+
+namespace kingcupmill {
+
+class TargetView;
+
+// Provides connections for queued requests: chooses the target at which one is
+// opened, reassigned, claimed or borrowed.
+class ConnectionProvider {
+ public:
+  // A target that could run the request if it had a connection.
+  struct Candidate {
+    TargetView* target;
+    Duration cost;
+  };
+
+  // Restarts the count of queued requests.
+  void BeginPass() { this->waiting_by_customer.clear(); }
+  void AddWaiting(const CustomerName& customer) {
+    ++this->waiting_by_customer[customer];
+  }
+
+  // Starts to provide a connection for one of the `queued` requests, of which
+  // it is known that none of the candidates has a free connection for it. Does
+  // nothing if enough are being opened.
+  void Provide(const CustomerName& customer,
+               std::span<const Candidate> candidates,
+               size_t queued,
+               TimePoint wait_until) const;
+
+ private:
+  std::map<CustomerName, size_t> waiting_by_customer;
+};
+
+// Returns how many connections per second a home may open to a target with
+// `slots` slots, of `homes` homes.
+double ConnectionOpenRate(int slots, size_t homes);
+
+}  // namespace kingcupmill
+
+#endif  // LIBDISPATCH_CONNECTION_PROVIDER_H_
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -38,6 +38,9 @@
 // Keeps reads that a replica may serve away from the primary, whose capacity is
 // needed for those that only it may serve.
 constexpr Duration kPrimaryReadPenalty = std::chrono::milliseconds(8);
+// The cost of a new connection for a customer: a target takes 12 ms to accept
+// it, and a round trip is added.
+constexpr Duration kHandshakeCost = std::chrono::milliseconds(15);
 // A statement is refused after this many attempts.
 constexpr int kMaximumAttempts = 10;
 // The delay before a rejected request is offered to a target again.
@@ -106,7 +109,8 @@
 }
 
 void GroupDispatcher::SetTargets(std::span<const TargetEntry> entries,
-                                 size_t maximum_connections) {
+                                 size_t maximum_connections,
+                                 size_t home_count) {
   std::map<TargetName, std::shared_ptr<TargetView>> next;
   for (const TargetEntry& entry : entries) {
     std::shared_ptr<TargetView> view;
@@ -125,6 +129,7 @@
       events.did_become_free = this->life.Wrap([this] { this->Dispatch(); });
       events.did_open = this->life.Wrap(
           [this, name](std::optional<LogPoint> point, TimePoint sent_at) {
+            ++this->connections_opened_count;
             const auto found = this->target_by_name.find(name);
             if (found == this->target_by_name.end())
               return;
@@ -136,6 +141,17 @@
         if (failure == ConnectionFailure::kConnectionLimit)
           ++this->connection_limit_refusal_count;
       });
+      events.did_reassign = this->life.Wrap(
+          [this, name](const ConnectionPool::Reassignment& reassignment) {
+            ++this->connections_reassigned_count;
+            this->event_log.Write(
+                EventLog::Kind::kStateChange,
+                "event=connection_reassigned group={} target={} from={} to={} "
+                "expected_back_ms={}",
+                this->group.value, name.value, reassignment.from.value,
+                reassignment.to.value,
+                ToMilliseconds(reassignment.expected_return));
+          });
       view = std::make_shared<TargetView>(
           entry, std::make_unique<ConnectionPool>(
                      this->scheduler, this->dialers,
@@ -149,6 +165,7 @@
       view->was_ready = true;
     }
     view->pool->SetLimit(maximum_connections);
+    view->pool->SetOpenRate(ConnectionOpenRate(entry.slots, home_count));
     next.emplace(entry.name, std::move(view));
   }
   for (auto& [name, view] : this->target_by_name) {
@@ -285,8 +302,11 @@
     this->needs_another_pass = false;
     std::vector<RequestPointer> waiting;
     waiting.reserve(this->queue.size());
-    for (const auto& [key, pending] : this->queue)
+    this->connection_provider.BeginPass();
+    for (const auto& [key, pending] : this->queue) {
       waiting.push_back(pending);
+      this->connection_provider.AddWaiting(pending->request.customer);
+    }
     for (const RequestPointer& pending : waiting) {
       if (!pending->is_queued)
         continue;
@@ -360,8 +380,11 @@
                          this->PrimarySilence() < kUnresponsivePrimaryTimeout;
   if (now < view.overloaded_until)
     return std::nullopt;
-  if (!view.pool->has_free()) {
-    this->AddConnections(view);
+  const CustomerName& customer = pending.request.customer;
+  if (!view.pool->has_free(customer)) {
+    const ConnectionProvider::Candidate candidate{&view, Duration(0)};
+    this->connection_provider.Provide(customer, {&candidate, 1},
+                                      this->queue.size(), pending.queued_until);
     return std::nullopt;
   }
   return TargetChoice{found->second, std::nullopt, lease};
@@ -381,14 +404,6 @@
   return this->target_drain_limit - kDrainMargin;
 }
 
-void GroupDispatcher::AddConnections(TargetView& target) {
-  // One for each queued request is enough.
-  if (target.pool->opening_count() >= this->queue.size())
-    return;
-  if (!target.pool->Open())
-    target.pool->Borrow();
-}
-
 std::optional<LogPoint> GroupDispatcher::RequiredPosition(
     const PendingRequest& pending) const {
   const CallerRoute& route = pending.request.route;
@@ -420,8 +435,10 @@
   pending.waiting_for = required ? "a target" : kWaitsForPositionSample;
   std::shared_ptr<TargetView> best;
   Duration best_cost = Duration::max();
-  std::shared_ptr<TargetView> best_without_connection;
-  Duration best_cost_without_connection = Duration::max();
+  const CustomerName& customer = pending.request.customer;
+  const Duration handshake_cost =
+      customer.value.empty() ? Duration(0) : kHandshakeCost;
+  std::vector<ConnectionProvider::Candidate> without_connection;
   for (const auto& [name, view] : this->target_by_name) {
     const bool is_primary = lease && lease->primary == name;
     if (view->entry.state != TargetState::kReady)
@@ -438,18 +455,18 @@
       cost += kPrimaryReadPenalty;
     if (view->entry.place != this->place)
       cost += kOtherPlacePenalty;
-    if (view->pool->has_free()) {
-      if (cost < best_cost) {
-        best_cost = cost;
-        best = view;
-      }
-    } else if (cost < best_cost_without_connection) {
-      best_cost_without_connection = cost;
-      best_without_connection = view;
+    if (!view->pool->has_free(customer)) {
+      without_connection.push_back({view.get(), cost + handshake_cost});
+    } else if (cost < best_cost) {
+      best_cost = cost;
+      best = view;
     }
   }
-  if (best_without_connection && best_cost_without_connection < best_cost)
-    this->AddConnections(*best_without_connection);
+  std::erase_if(without_connection, [&](const auto& candidate) {
+    return candidate.cost >= best_cost;
+  });
+  this->connection_provider.Provide(customer, without_connection,
+                                    this->queue.size(), pending.queued_until);
   if (!best)
     return std::nullopt;
   const bool is_primary = lease && lease->primary == best->entry.name;
@@ -460,8 +477,8 @@
 
 void GroupDispatcher::Start(const RequestPointer& pending,
                             TargetChoice choice) {
-  const auto connection =
-      choice.target->pool->Acquire(*pending->request.session_context);
+  const auto connection = choice.target->pool->Acquire(
+      pending->request.customer, *pending->request.session_context);
   KINGCUPMILL_VERIFY(connection != nullptr);
   if (!choice.target->pool->needs_probe(*connection))
     return this->Send(pending, choice, connection);
@@ -844,7 +861,7 @@
     return nullptr;
   auto connection = found->second->pool->FindOpen();
   if (!connection)
-    found->second->pool->Open();
+    found->second->pool->Open({});
   return connection;
 }
 
@@ -857,7 +874,7 @@
 void GroupDispatcher::AddControlConnection(const TargetName& target) {
   const auto found = this->target_by_name.find(target);
   if (found != this->target_by_name.end())
-    found->second->pool->Open();
+    found->second->pool->Open({});
 }
 
 std::optional<TimePoint> GroupDispatcher::LeavingSince(
@@ -870,15 +887,16 @@
 
 bool GroupDispatcher::LendConnection(
     const TargetName& target,
+    const CustomerName& customer,
     std::shared_ptr<TargetView>& view,
     std::shared_ptr<PooledConnection>& connection) {
   const auto found = this->target_by_name.find(target);
   if (found == this->target_by_name.end())
     return false;
   const std::shared_ptr<PooledConnection> acquired =
-      found->second->pool->AcquireOwn(SessionContext());
+      found->second->pool->AcquireOwn(customer, SessionContext());
   if (!acquired) {
-    found->second->pool->Open();
+    found->second->pool->ProvideForLoan(customer);
     return false;
   }
   view = found->second;
@@ -908,7 +926,7 @@
   for (const auto& [name, view] : this->target_by_name) {
     if (view->entry.state != TargetState::kUnlisted &&
         view->pool->open_count() + view->pool->opening_count() == 0)
-      view->pool->Open();
+      view->pool->Open({});
   }
   const bool is_due = now - this->last_probed_at >= kProbeInterval &&
                       now - this->last_primary_answer_at >= kProbeInterval;
@@ -925,7 +943,7 @@
       this->unanswered_since = now;
     const auto connection = view->pool->FindOpen();
     if (!connection) {
-      view->pool->Open();
+      view->pool->Open({});
       continue;
     }
     TargetCommand probe;
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -15,6 +15,7 @@
 #include "LibCore/scheduler.h"
 #include "LibDirectory/target_entry.h"
 #include "LibDispatch/Forward.h"
+#include "LibDispatch/connection_provider.h"
 #include "LibDispatch/dispatch_request.h"
 #include "LibDispatch/in_flight_statements.h"
 #include "LibDispatch/overload_forecast.h"
@@ -42,10 +43,11 @@
                   Duration target_drain_limit);
   ~GroupDispatcher() override;
 
-  // Sets the group's targets and how many connections to one target this proxy
-  // may have.
+  // Sets the group's targets, how many connections to one target this proxy may
+  // have, and how many homes share the rate of new ones.
   void SetTargets(std::span<const TargetEntry> entries,
-                  size_t maximum_connections);
+                  size_t maximum_connections,
+                  size_t home_count = 1);
 
   // RequestDispatcher:
   RequestNumber Submit(DispatchRequest request,
@@ -92,6 +94,12 @@
   uint64_t connection_limit_refusals() const {
     return this->connection_limit_refusal_count;
   }
+  // Connections that targets have accepted.
+  uint64_t connections_opened() const { return this->connections_opened_count; }
+  // Connections that were closed to make room for another customer's.
+  uint64_t connections_reassigned() const {
+    return this->connections_reassigned_count;
+  }
 
   // Returns an open connection for the proxy's own commands to a target, or
   // null. If there is none it starts to open one.
@@ -106,9 +114,10 @@
   // nothing if it is not.
   std::optional<TimePoint> LeavingSince(const TargetName& target) const;
 
-  // Lends a free connection to `target` to another proxy. Returns false when
-  // there is none, and starts to open one.
+  // Lends a free connection of the customer to `target` to another proxy.
+  // Returns false when there is none, and starts to open one.
   bool LendConnection(const TargetName& target,
+                      const CustomerName& customer,
                       std::shared_ptr<TargetView>& view,
                       std::shared_ptr<PooledConnection>& connection);
   // Takes a lent connection back: resets its session and rolls back an open
@@ -187,7 +196,6 @@
                          const std::shared_ptr<PooledConnection>& connection);
   void RollBackAndRelease(const std::shared_ptr<TargetView>& target,
                           const std::shared_ptr<PooledConnection>& connection);
-  void AddConnections(TargetView& target);
   bool is_usable(const TargetView& target) const;
   // Returns how long a leaving primary takes new requests.
   Duration LeavingPrimaryLimit(const TargetView& primary) const;
@@ -206,6 +214,7 @@
   std::vector<std::shared_ptr<TargetView>> retired_targets;
   std::map<QueueKey, RequestPointer> queue;
   OverloadForecast forecast;
+  ConnectionProvider connection_provider;
   std::map<RequestNumber, RequestPointer> pending_by_number;
   std::set<OpenTransaction*> transactions;
   // Statements outside transactions that were sent to the primary.
@@ -216,6 +225,8 @@
   std::map<RequestNumber, PrimaryStatement> statements_on_primary;
   InFlightStatements unanswered_statements;
   uint64_t connection_limit_refusal_count = 0;
+  uint64_t connections_opened_count = 0;
+  uint64_t connections_reassigned_count = 0;
   RequestNumber next_number = 1;
   bool is_dispatching = false;
   bool needs_another_pass = false;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -556,7 +556,9 @@
     std::vector<TargetEntry> entries = this->TargetsOf(group);
     std::vector<TargetEntry> unlisted = this->UnlistedTargetsOf(group);
     entries.insert(entries.end(), unlisted.begin(), unlisted.end());
-    dispatcher->SetTargets(entries, this->ConnectionLimit(group));
+    dispatcher->SetTargets(entries, this->ConnectionLimit(group),
+                           std::max(this->home_assignment.HomesOf(group).size(),
+                                    this->SharesOf(group).HomeCount()));
   }
 }
 
@@ -985,10 +987,13 @@
         "kingcupmill_lease_held{{group=\"{0}\"}} {1}\n"
         "kingcupmill_queue{{group=\"{0}\"}} {2}\n"
         "kingcupmill_connection_limit_refusals_total{{group=\"{0}\"}} {4}\n"
+        "kingcupmill_connections_opened_total{{group=\"{0}\"}} {5}\n"
+        "kingcupmill_connections_reassigned_total{{group=\"{0}\"}} {6}\n"
         "kingcupmill_primary_silence_seconds{{group=\"{0}\"}} {3:.3f}\n",
         group.value, lease ? 1 : 0, dispatcher->queue_length(),
         std::chrono::duration<double>(dispatcher->PrimarySilence()).count(),
-        dispatcher->connection_limit_refusals());
+        dispatcher->connection_limit_refusals(),
+        dispatcher->connections_opened(), dispatcher->connections_reassigned());
   }
   return text;
 }
--- a/Libraries/LibLink/connection_pool_test.cc
+++ b/Libraries/LibLink/connection_pool_test.cc
@@ -2,9 +2,8 @@
 
 #include <doctest/doctest.h>
 
-#include <vector>
-
 #include "LibCore/virtual_scheduler.h"
+#include "LibLink/fake_dialer.h"
 
 namespace kingcupmill {
 
@@ -13,45 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Accepts each connection after 12 ms and answers each command after 1 ms.
-class FakeDialer final : public TargetDialer {
- public:
-  explicit FakeDialer(Scheduler& scheduler) : scheduler(scheduler) {}
-
-  std::unique_ptr<TargetChannel> Dial(const TargetEndpoint&,
-                                      ChannelHandlers handlers) override {
-    ++this->dial_count;
-    return std::make_unique<Channel>(this->scheduler, std::move(handlers));
-  }
-
-  int dial_count = 0;
-
- private:
-  class Channel final : public TargetChannel {
-   public:
-    Channel(Scheduler& scheduler, ChannelHandlers handlers)
-        : scheduler(scheduler), handlers(std::move(handlers)) {
-      this->scheduler.PostAfter(milliseconds(12), this->life.Wrap([this] {
-        this->handlers.did_open(std::nullopt);
-      }));
-    }
-    void Send(std::span<const TargetCommand> commands) override {
-      for (size_t count = 0; count < commands.size(); ++count)
-        this->scheduler.PostAfter(milliseconds(1), this->life.Wrap([this] {
-          this->handlers.did_receive(StatementAnswer());
-        }));
-    }
-    void Close() override { this->handlers = {}; }
-
-   private:
-    Scheduler& scheduler;
-    ChannelHandlers handlers;
-    LifetimeGuard life;
-  };
-
-  Scheduler& scheduler;
-};
-
 }  // namespace
 
 TEST_CASE("pooled connections to one target") {
@@ -66,10 +26,10 @@
   ConnectionPool pool(scheduler, TargetDialers{own_dialer, borrowed_dialer},
                       TargetEndpoint{}, events);
   pool.SetLimit(3);
-  REQUIRE(pool.Open());
-  REQUIRE(pool.Open());
-  REQUIRE(pool.Open());
-  CHECK_FALSE(pool.Open());
+  REQUIRE(pool.Open({}));
+  REQUIRE(pool.Open({}));
+  REQUIRE(pool.Open({}));
+  CHECK_FALSE(pool.Open({}));
   scheduler.RunFor(milliseconds(20));
   REQUIRE(pool.open_count() == 3);
 
@@ -80,13 +40,13 @@
   };
 
   SUBCASE("never exceed the limit") {
-    CHECK_FALSE(pool.Open());
+    CHECK_FALSE(pool.Open({}));
     CHECK(own_dialer.dial_count == 3);
   }
 
   SUBCASE("are used by one request at a time") {
-    const auto first = pool.Acquire(SessionContext());
-    const auto second = pool.Acquire(SessionContext());
+    const auto first = pool.Acquire({}, SessionContext());
+    const auto second = pool.Acquire({}, SessionContext());
     CHECK(first != second);
     CHECK(pool.in_use_count() == 2);
     pool.Release(first);
@@ -95,18 +55,18 @@
   }
 
   SUBCASE("can be replaced after one is closed") {
-    const auto connection = pool.Acquire(SessionContext());
+    const auto connection = pool.Acquire({}, SessionContext());
     connection->Close();
     pool.Release(connection);
     CHECK(pool.open_count() == 2);
-    CHECK(pool.Open());
+    CHECK(pool.Open({}));
   }
 
   SUBCASE("are reused starting with the one that answered last") {
     scheduler.RunFor(seconds(1));
-    const auto connection = pool.Acquire(SessionContext());
+    const auto connection = pool.Acquire({}, SessionContext());
     use(connection);
-    CHECK(pool.Acquire(SessionContext()) == connection);
+    CHECK(pool.Acquire({}, SessionContext()) == connection);
     pool.Release(connection);
   }
 }
--- a/Libraries/LibLink/pooled_connection.cc
+++ b/Libraries/LibLink/pooled_connection.cc
@@ -21,6 +21,7 @@
                                    DidOpen did_open,
                                    DidFail did_fail)
     : scheduler(scheduler),
+      customer_name(endpoint.customer),
       did_open(std::move(did_open)),
       did_fail(std::move(did_fail)),
       last_answered_at(scheduler.Now()) {
@@ -29,7 +30,8 @@
     if (this->state != State::kOpening)
       return;
     this->state = State::kOpen;
-    this->last_answered_at = this->scheduler.Now();
+    this->was_opened_at = this->scheduler.Now();
+    this->last_answered_at = this->was_opened_at;
     this->did_open(point);
   });
   handlers.did_receive = this->life.Wrap(
--- a/Libraries/LibLink/pooled_connection.h
+++ b/Libraries/LibLink/pooled_connection.h
@@ -66,6 +66,11 @@
   // Closes the connection; unanswered commands are called back with nothing.
   void Close();
 
+  // The customer under whose name the connection was opened; empty if that is
+  // the name of this VM.
+  const CustomerName& customer() const { return this->customer_name; }
+  // When the target accepted the connection.
+  TimePoint opened_at() const { return this->was_opened_at; }
   bool is_open() const { return this->state == State::kOpen; }
   bool is_closed() const { return this->state == State::kClosed; }
   bool is_idle() const { return this->is_open() && this->pending.empty(); }
@@ -100,6 +105,7 @@
       const SessionContext& session_context);
 
   Scheduler& scheduler;
+  CustomerName customer_name;
   DidOpen did_open;
   DidFail did_fail;
   std::unique_ptr<TargetChannel> channel;
@@ -108,6 +114,7 @@
   SessionContext::Values values;
   std::set<PreparedShape> prepared;
   std::deque<Pending> pending;
+  TimePoint was_opened_at{};
   TimePoint last_answered_at;
   LifetimeGuard life;
 };
--- a/Libraries/LibRelay/forwarding_dispatcher.cc
+++ b/Libraries/LibRelay/forwarding_dispatcher.cc
@@ -178,7 +178,8 @@
   const bool are_homes_unreachable =
       this->context.is_isolated() && !this->has_home_in_own_place();
   if (pending->attempts < kMaximumAttempts && !are_homes_unreachable)
-    address = this->context.chooser.Choose(homes, pending->tried_homes, now);
+    address = this->context.chooser.Choose(homes, pending->tried_homes,
+                                           pending->request.customer, now);
   if (address)
     return this->ForwardTo(pending, *address);
   if (pending->in_flight > 0)
--- a/Libraries/LibRelay/home_chooser.h
+++ b/Libraries/LibRelay/home_chooser.h
@@ -28,6 +28,11 @@
 // fewer. Ties are broken by a hash seeded per proxy: each proxy keeps links to
 // few homes, since links cost time to set up, and all proxies together spread
 // evenly over the homes.
+//
+// The statements of a customer go to the first home in an order that is the
+// same for all proxies, because a home has few connections to a target, each of
+// which serves one customer. That home is passed over while it has clearly more
+// unanswered queries of this proxy than another one.
 class HomeChooser {
  public:
   HomeChooser(PlaceName place, uint64_t seed);
@@ -36,6 +41,7 @@
   // all homes are excluded or have recently failed or declined.
   std::optional<std::string> Choose(std::span<const Home> homes,
                                     const std::set<std::string>& excluded,
+                                    const CustomerName& customer,
                                     TimePoint now);
 
   // Called when a query is sent to a home. Exactly one of DidAnswer(),
@@ -61,8 +67,9 @@
   };
 
   // Returns the rank of a home among homes of equal load, specific to this
-  // proxy.
-  uint64_t RankOf(const std::string& address) const;
+  // proxy, or to the customer if there is one.
+  uint64_t RankOf(const std::string& address,
+                  const CustomerName& customer) const;
   void DidComplete(const std::string& address);
   void DidReceiveAnswer(TimePoint now);
 
--- a/Libraries/LibRelay/home_chooser_test.cc
+++ b/Libraries/LibRelay/home_chooser_test.cc
@@ -29,17 +29,17 @@
 
   SUBCASE("is one of the same place") {
     for (int turn = 0; turn < 20; ++turn)
-      CHECK(chooser.Choose(homes, {}, now) != "c");
+      CHECK(chooser.Choose(homes, {}, {}, now) != "c");
   }
 
   SUBCASE("is the one with fewer unanswered queries") {
     chooser.DidSend("a", now);
-    CHECK(chooser.Choose(homes, {}, now) == "b");
+    CHECK(chooser.Choose(homes, {}, {}, now) == "b");
 
     SUBCASE("until it has answered") {
       chooser.DidAnswer("a", now);
       chooser.DidSend("b", now);
-      CHECK(chooser.Choose(homes, {}, now) == "a");
+      CHECK(chooser.Choose(homes, {}, {}, now) == "a");
     }
   }
 
@@ -50,14 +50,14 @@
     elsewhere.reserve(10);
     for (int number = 0; number < 10; ++number)
       elsewhere.push_back({"home-" + std::to_string(number), kOtherPlace});
-    const auto first = chooser.Choose(elsewhere, {}, now);
+    const auto first = chooser.Choose(elsewhere, {}, {}, now);
     for (int turn = 0; turn < 50; ++turn)
-      CHECK(chooser.Choose(elsewhere, {}, now) == first);
+      CHECK(chooser.Choose(elsewhere, {}, {}, now) == first);
 
     SUBCASE("and many proxies spread evenly") {
       std::map<std::string, int> chosen;
       for (uint64_t seed = 0; seed < 300; ++seed)
-        ++chosen[*HomeChooser(kOwnPlace, seed).Choose(elsewhere, {}, now)];
+        ++chosen[*HomeChooser(kOwnPlace, seed).Choose(elsewhere, {}, {}, now)];
       CHECK(chosen.size() == 10);
       for (const auto& [home, count] : chosen)
         CHECK(count < 60);
@@ -67,23 +67,23 @@
   SUBCASE("is not one that has just failed") {
     chooser.DidSend("a", now);
     chooser.DidFail("a", now);
-    CHECK(chooser.Choose(homes, {}, now) == "b");
+    CHECK(chooser.Choose(homes, {}, {}, now) == "b");
 
     SUBCASE(
         "but one of another place when all of this place failed or declined") {
       chooser.DidSend("b", now);
       chooser.DidDecline("b", now);
-      CHECK(chooser.Choose(homes, {}, now) == "c");
-      CHECK_FALSE(chooser.Choose(homes, {"c"}, now).has_value());
+      CHECK(chooser.Choose(homes, {}, {}, now) == "c");
+      CHECK_FALSE(chooser.Choose(homes, {"c"}, {}, now).has_value());
     }
 
     SUBCASE("and is tried again later") {
-      CHECK(chooser.Choose(homes, {"b", "c"}, now + seconds(1)) == "a");
+      CHECK(chooser.Choose(homes, {"b", "c"}, {}, now + seconds(1)) == "a");
     }
   }
 
   SUBCASE("is not an excluded one") {
-    CHECK(chooser.Choose(homes, {"a", "b"}, now) == "c");
+    CHECK(chooser.Choose(homes, {"a", "b"}, {}, now) == "c");
   }
 
   SUBCASE("reports how long all homes have been silent") {
@@ -117,7 +117,7 @@
         chooser.DidAnswer(answer_by_turn.begin()->second, now);
         answer_by_turn.erase(answer_by_turn.begin());
       }
-      const std::string home = *chooser.Choose(pair, {}, now);
+      const std::string home = *chooser.Choose(pair, {}, {}, now);
       chooser.DidSend(home, now);
       ++sent[home];
       answer_by_turn.emplace(turn + service.at(home), home);
--- a/Libraries/LibRelay/loan_server.cc
+++ b/Libraries/LibRelay/loan_server.cc
@@ -41,7 +41,8 @@
     return send_answer(BorrowAnswer{});
   auto loan = std::make_shared<Loan>();
   loan->group = group;
-  if (!group->LendConnection(query.target, loan->target, loan->connection))
+  if (!group->LendConnection(query.target, query.customer, loan->target,
+                             loan->connection))
     return send_answer(BorrowAnswer{});
   this->loan_by_name.emplace(query.loan, loan);
   this->RestartTimer(query.loan, loan);
