LibPeer: Add the messages of usage limits

A proxy asks the holder of a customer's usage account for tokens. The kinds get the numbers 23 and 24; an earlier build drops them as unknown. A rate that is not finite is rejected, because it would spread through the account's sums.

--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -1,5 +1,6 @@
 #include "LibPeer/peer_query.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -36,6 +37,8 @@
 constexpr int kRollbackAnswer = 20;
 constexpr int kPromiseQuery = 21;
 constexpr int kPromiseAnswer = 22;
+constexpr int kUsageQuery = 23;
+constexpr int kUsageAnswer = 24;
 
 json ToJson(const TableCopy& copy) {
   json rows = nullptr;
@@ -233,6 +236,16 @@
     return json::array({kPromiseAnswer, answer.incarnation,
                         answer.duration.count(), std::move(versions)});
   }
+  json operator()(const UsageQuery& query) const {
+    return json::array({kUsageQuery, query.customer.value, query.proxy,
+                        query.wanted, query.offline_rate, query.used_rate,
+                        query.used_offline, query.process_age.count()});
+  }
+  json operator()(const UsageAnswer& answer) const {
+    return json::array({kUsageAnswer, answer.is_holder, answer.is_granting,
+                        answer.granted, answer.offline_rate,
+                        answer.wait.count()});
+  }
   json operator()(const NotSent&) const {
     // Made by the querying proxy itself and never encoded.
     KINGCUPMILL_VERIFY(false);
@@ -341,6 +354,36 @@
   return body.size() > place ? CustomerName{body.at(place)} : CustomerName{};
 }
 
+// Throws json::exception unless the value is a finite rate of at least zero.
+double RateFromJson(const json& value) {
+  const double rate = value.get<double>();
+  if (!std::isfinite(rate) || rate < 0)
+    throw json::other_error::create(501, "not a rate", &value);
+  return rate;
+}
+
+UsageQuery UsageQueryFromJson(const json& body) {
+  UsageQuery query;
+  query.customer.value = body.at(1);
+  query.proxy = body.at(2);
+  query.wanted = body.at(3);
+  query.offline_rate = RateFromJson(body.at(4));
+  query.used_rate = RateFromJson(body.at(5));
+  query.used_offline = body.at(6);
+  query.process_age = Duration(body.at(7).get<int64_t>());
+  return query;
+}
+
+UsageAnswer UsageAnswerFromJson(const json& body) {
+  UsageAnswer answer;
+  answer.is_holder = body.at(1);
+  answer.is_granting = body.at(2);
+  answer.granted = body.at(3);
+  answer.offline_rate = RateFromJson(body.at(4));
+  answer.wait = Duration(body.at(5).get<int64_t>());
+  return answer;
+}
+
 RelayQuery RelayQueryFromJson(const json& body) {
   RelayQuery query;
   query.loan = body.at(1);
@@ -411,6 +454,10 @@
       return NumberedQuery{number, PromiseQuery{}};
     case kPromiseAnswer:
       return NumberedAnswer{number, PromiseAnswerFromJson(body)};
+    case kUsageQuery:
+      return NumberedQuery{number, UsageQueryFromJson(body)};
+    case kUsageAnswer:
+      return NumberedAnswer{number, UsageAnswerFromJson(body)};
     default:
       throw json::other_error::create(501, "unknown message", &body);
   }
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -187,6 +187,40 @@
   uint64_t version = 0;
 };
 
+// Asks the holder of a customer's usage account for tokens. An active proxy
+// also sends it without wanting any, so that the holder knows that it is
+// connected.
+struct UsageQuery {
+  CustomerName customer;
+  // The address of the querying proxy, which identifies it to the account.
+  std::string proxy;
+  // How many tokens it wants.
+  uint64_t wanted = 0;
+  // The rate, in operations a second, that it uses while it gets no answer.
+  double offline_rate = 0;
+  // The average rate at which it used tokens in the last seconds.
+  double used_rate = 0;
+  // How many operations it has admitted without the account since its start.
+  uint64_t used_offline = 0;
+  // How long its process has been running.
+  Duration process_age{};
+};
+
+struct UsageAnswer {
+  // Whether the peer keeps the customer's account. Otherwise the other fields
+  // mean nothing.
+  bool is_holder = false;
+  // False while a new holder waits until its predecessor grants no more. The
+  // querying proxy goes on with its offline rate, which the answer renews.
+  bool is_granting = false;
+  // The tokens granted; they expire a short time after the query was sent.
+  uint64_t granted = 0;
+  // Replaces the offline rate of the querying proxy.
+  double offline_rate = 0;
+  // How long it takes until the account has another token; zero if it has one.
+  Duration wait{};
+};
+
 // The query was not sent, because the peer could not be reached. Made by the
 // querying proxy itself, never encoded.
 struct NotSent {};
@@ -201,7 +235,8 @@
                                ForwardQuery,
                                ContinueQuery,
                                RollbackQuery,
-                               PromiseQuery>;
+                               PromiseQuery,
+                               UsageQuery>;
 using PeerAnswer = std::variant<StoreCopyAnswer,
                                 ClosePrimaryAnswer,
                                 HealthAnswer,
@@ -213,6 +248,7 @@
                                 ContinueAnswer,
                                 RollbackAnswer,
                                 PromiseAnswer,
+                                UsageAnswer,
                                 NotSent>;
 
 // Encodes a query or an answer as CBOR. An answer carries the number of its
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -4,6 +4,8 @@
 
 #include <rapidcheck.h>
 
+#include <limits>
+
 namespace kingcupmill {
 
 namespace {
@@ -135,6 +137,40 @@
             versions);
     }
 
+    SUBCASE("a query for tokens of a usage limit, and its answer") {
+      UsageQuery query;
+      query.customer.value = "acme";
+      query.proxy = "10.0.0.1:7000";
+      query.wanted = 12;
+      query.offline_rate = 2.5;
+      query.used_rate = 1.25;
+      query.used_offline = 7;
+      query.process_age = std::chrono::milliseconds(900);
+      const UsageQuery received = EncodeAndDecode(query);
+      CHECK(received.customer == query.customer);
+      CHECK(received.proxy == query.proxy);
+      CHECK(received.wanted == 12);
+      CHECK(received.offline_rate == 2.5);
+      CHECK(received.used_rate == 1.25);
+      CHECK(received.used_offline == 7);
+      CHECK(received.process_age == query.process_age);
+      UsageAnswer answer;
+      answer.is_holder = true;
+      answer.is_granting = true;
+      answer.granted = 3;
+      answer.offline_rate = 0.5;
+      answer.wait = std::chrono::milliseconds(40);
+      const UsageAnswer answered = EncodeAndDecodeAnswer(answer);
+      CHECK(answered.is_holder);
+      CHECK(answered.is_granting);
+      CHECK(answered.granted == 3);
+      CHECK(answered.offline_rate == 0.5);
+      CHECK(answered.wait == answer.wait);
+      // A rate that is not a number would spread through the account's sums.
+      query.used_rate = std::numeric_limits<double>::quiet_NaN();
+      CHECK_FALSE(DecodePeerBytes(EncodeQuery(7, query)).has_value());
+    }
+
     SUBCASE("statements over a lent connection") {
       TargetCommand command;
       command.kind = TargetCommandKind::kExecute;
