LibGateway: Apply usage limits to the requests of sessions

Sessions get a dispatcher that obtains a token first when the configuration declares a limit, and the same dispatcher as before otherwise. Requests that other proxies forward have obtained their token there.

--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -136,6 +136,11 @@
       leases(kLeaseTerms.length, kLeaseTerms.maximum_length),
       home_assignment(this->options.peer_address),
       home_chooser(this->options.place, this->options.random_seed + 3),
+      usage(
+          UsageService::Context{dependencies.scheduler, dependencies.peers,
+                                this->event_log, this->options.peer_address,
+                                [this] { return this->coordination.read_at(); },
+                                this->options.random_seed + 4}),
       relay_dialer(
           dependencies.scheduler,
           dependencies.peers,
@@ -298,6 +303,18 @@
 }
 
 RequestDispatcher* Gateway::FindRequestDispatcher(const GroupName& group) {
+  RequestDispatcher* dispatcher = this->FindUnlimitedDispatcher(group);
+  if (!dispatcher || !this->usage.is_active())
+    return dispatcher;
+  auto& limited = this->usage_limited_dispatchers[group];
+  if (!limited)
+    limited = std::make_unique<UsageLimitedDispatcher>(
+        this->usage,
+        [this, group] { return this->FindUnlimitedDispatcher(group); });
+  return limited.get();
+}
+
+RequestDispatcher* Gateway::FindUnlimitedDispatcher(const GroupName& group) {
   if (GroupDispatcher* dispatcher = this->FindHomeDispatcher(group))
     return dispatcher;
   // A proxy that is not registered as a home yet queues requests itself only
@@ -355,6 +372,7 @@
                    ? "store"
                    : "copy");
   this->routes = std::move(*decoded);
+  this->usage.SetCustomers(this->routes->customers);
   this->UpdateAssignmentGroups();
   this->UpdateDispatchers();
   this->copy_server.DidRead();
@@ -387,6 +405,12 @@
   if (is_changed || !this->home_assignment.has_read_members()) {
     this->home_assignment.DidReadMembers(this->view.members(), now);
     this->UpdateHomeAssignment();
+    std::vector<UsageService::Member> members;
+    for (const auto& [address, member] : this->view.members()) {
+      if (!member.is_gone)
+        members.push_back({address, member.incarnation});
+    }
+    this->usage.SetMembers(members);
   }
   this->leases.DidRead(this->view.primaries(), this->coordination.read_at(),
                        this->registration.registered_groups(), now);
@@ -568,6 +592,7 @@
   this->failover.Tick();
   this->roster_keeper.Tick();
   this->copy_server.Tick();
+  this->usage.Tick();
   this->UpdateTableSources();
   this->RequestCopies();
   this->RequestPromises();
@@ -836,6 +861,8 @@
     return this->forward_server.Handle(*end, send_answer);
   if (std::holds_alternative<PromiseQuery>(query))
     return send_answer(this->MakePromise());
+  if (const auto* tokens = std::get_if<UsageQuery>(&query))
+    return this->usage.Handle(*tokens, send_answer);
   if (const auto* change = std::get_if<StoreChangeQuery>(&query))
     return this->store.Handle(*change, send_answer);
   send_answer(this->HandleHealth(std::get<HealthQuery>(query)));
@@ -962,7 +989,7 @@
 
 std::string Gateway::FormatMetrics() const {
   const TimePoint now = this->dependencies.scheduler.Now();
-  std::string text = this->metrics.Format();
+  std::string text = this->metrics.Format() + this->usage.FormatMetrics();
   text += fmt::format(
       "kingcupmill_revision {}\nkingcupmill_sessions {}\n"
       "kingcupmill_store_silence_seconds {:.3f}\n"
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -43,6 +43,8 @@
 #include "LibRelay/relay_dialer.h"
 #include "LibRelay/relaying_store.h"
 #include "LibTables/table_cache.h"
+#include "LibUsage/usage_limited_dispatcher.h"
+#include "LibUsage/usage_service.h"
 
 namespace kingcupmill {
 
@@ -147,6 +149,9 @@
   // them.
   void UpdateHomeAssignment();
   void UpdateDispatchers();
+  // Returns the dispatcher that runs this proxy's requests for a group, without
+  // regard to usage limits, or null.
+  RequestDispatcher* FindUnlimitedDispatcher(const GroupName& group);
   // Returns the dispatcher of a group of which this proxy is or will be a home,
   // or null.
   GroupDispatcher* FindDispatcher(const GroupName& group);
@@ -229,6 +234,9 @@
   HomeChooser home_chooser;
   std::map<GroupName, std::unique_ptr<ForwardingDispatcher>>
       forwarding_dispatchers;
+  UsageService usage;
+  std::map<GroupName, std::unique_ptr<UsageLimitedDispatcher>>
+      usage_limited_dispatchers;
   RelayDialer relay_dialer;
   LoanServer loan_server;
   StoreCopyServer copy_server;
