LibGateway, platform: Send copies of the configuration without keys

Proxies get the configuration from each other, mostly from the readers of the store, and its row contains the keys of all customers.

The store and the rows of proxies that read it are not changed.

--- a/Libraries/LibDirectory/directory_codec.h
+++ b/Libraries/LibDirectory/directory_codec.h
@@ -25,6 +25,13 @@
   virtual Result<RouteTable> DecodeRoutes(
       const TableCache::Rows& rows) const = 0;
 
+  // Returns the value of a configuration row as it may be sent to other
+  // proxies. DecodeRoutes() decodes it to the same routes, but it contains no
+  // keys of customers.
+  virtual std::string RemoveKeys(const std::string& value) const {
+    return value;
+  }
+
   // Logs and skips malformed entries.
   virtual std::vector<TargetEntry> DecodeTargets(
       const TableCache::Rows& rows) const = 0;
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -132,7 +132,7 @@
           [this](const GroupName& group) {
             return this->FindDispatcher(group);
           },
-          [this] { return this->PositionSampleCopies(); }}),
+          [this] { return this->PositionSampleCopies(); }, dependencies.codec}),
       leases(kLeaseTerms.length, kLeaseTerms.maximum_length),
       authorizer(this->routes, this->event_log),
       home_assignment(this->options.peer_address),
--- a/Libraries/LibGateway/table_copies.cc
+++ b/Libraries/LibGateway/table_copies.cc
@@ -19,7 +19,7 @@
   return versions;
 }
 
-StoreCopyAnswer TableCopies::Make(const StoreCopyQuery& query) const {
+StoreCopyAnswer TableCopies::Make(const StoreCopyQuery& query) {
   const TimePoint now = this->context.scheduler.Now();
   StoreCopyAnswer answer;
   size_t index = 0;
@@ -36,12 +36,26 @@
     if (const auto since = cache->available_since())
       copy.available_for = now - *since;
     copy.delta = cache->ChangesSince(known);
+    if (copy.delta && cache == &this->context.configuration)
+      this->RemoveKeys(*copy.delta);
     answer.tables.push_back(std::move(copy));
   }
   answer.position_samples = this->context.position_samples();
   return answer;
 }
 
+void TableCopies::RemoveKeys(TableDelta& delta) {
+  for (StoreRow& row : delta.rows.rows) {
+    if (row.value.empty())
+      continue;
+    if (row.value != this->original_value) {
+      this->shared_value = this->context.codec.RemoveKeys(row.value);
+      this->original_value = row.value;
+    }
+    row.value = this->shared_value;
+  }
+}
+
 void TableCopies::Apply(const StoreCopyAnswer& answer, TimePoint requested_at) {
   // The peer received the query after it was sent and held it; the ages in its
   // answer are as of the end of that. This makes the copies look older than
--- a/Libraries/LibGateway/table_copies.h
+++ b/Libraries/LibGateway/table_copies.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibCore/scheduler.h"
+#include "LibDirectory/directory_codec.h"
 #include "LibDispatch/group_dispatcher.h"
 #include "LibPeer/peer_query.h"
 #include "LibTables/table_cache.h"
@@ -26,6 +27,7 @@
     std::function<GroupDispatcher*(const GroupName&)> find_dispatcher;
     // Returns the newest known log position of each group's primary.
     std::function<std::vector<PositionSampleCopy>()> position_samples;
+    const DirectoryCodec& codec;
   };
 
   explicit TableCopies(Context context);
@@ -34,7 +36,7 @@
   std::vector<uint64_t> CachedVersions() const;
 
   // Answers a query with the rows that are newer than its versions.
-  StoreCopyAnswer Make(const StoreCopyQuery& query) const;
+  StoreCopyAnswer Make(const StoreCopyQuery& query);
 
   // Applies the copies of another proxy to a query sent at `requested_at`.
   void Apply(const StoreCopyAnswer& answer, TimePoint requested_at);
@@ -42,7 +44,14 @@
  private:
   std::array<TableCache*, 3> Caches() const;
 
+  // Replaces the keys of customers in rows of the configuration.
+  void RemoveKeys(TableDelta& delta);
+
   Context context;
+  // The last result of removing the keys, by the original value: the same row
+  // is sent to many proxies.
+  std::string original_value;
+  std::string shared_value;
 };
 
 }  // namespace kingcupmill
