LibEmulator: Emulate customers and their keys

Callers of the emulated cluster have the key of a customer if the cluster declares any, and the checker reports a statement that runs on a connection that was opened under another name than that of its caller's customer.

A test removes a key and adds it again, without faults and while the store rejects or is silent to three of five proxies, and checks that all proxies refuse or accept it within 5,000 ms and that its sessions are closed.

--- a/Libraries/LibEmulator/consistency_checker.cc
+++ b/Libraries/LibEmulator/consistency_checker.cc
@@ -58,6 +58,11 @@
   if (*run.values != sent.values)
     this->ReportViolation("PINNED",
                           run.request_id + " ran with other session values");
+  if (!sent.customer.value.empty() && run.customer != sent.customer)
+    this->ReportViolation(
+        "CUSTOMER",
+        fmt::format("{} of {} ran on a connection of {}", run.request_id,
+                    sent.customer.value, run.customer.value));
   this->CheckStaleness(sent, run);
   std::string receipt = fmt::format("{}@{}#{}", run.request_id,
                                     run.target.value, this->run_count);
--- a/Libraries/LibEmulator/consistency_checker.h
+++ b/Libraries/LibEmulator/consistency_checker.h
@@ -44,6 +44,8 @@
     SessionContext::Values values;
     // The last commit that the session received an acknowledgement for.
     std::optional<CommitEntry> own_commit;
+    // The customer of the caller; not checked if it is empty.
+    CustomerName customer = {};
   };
 
   // What a target ran for one statement.
@@ -56,6 +58,8 @@
     std::string transaction_attempt;
     const SessionContext::Values* values = nullptr;
     const std::vector<CommitEntry>* log = nullptr;
+    // The customer that the connection was opened under.
+    CustomerName customer = {};
   };
 
   explicit ConsistencyChecker(std::function<TimePoint()> now)
--- a/Libraries/LibEmulator/emulated_caller.cc
+++ b/Libraries/LibEmulator/emulated_caller.cc
@@ -19,6 +19,7 @@
     case StatementErrorCode::kReadOnly:
     case StatementErrorCode::kMisrouted:
     case StatementErrorCode::kConnectionLimit:
+    case StatementErrorCode::kNotAuthorized:
       return true;
     default:
       return false;
@@ -124,6 +125,7 @@
       this->is_in_transaction ? this->begun_at : this->scheduler.Now();
   sent.values = this->values;
   sent.own_commit = this->own_commit;
+  sent.customer = this->customer;
   this->checker.DidSend(statement.id, std::move(sent));
   this->outstanding = statement.id;
   this->sent_at = this->scheduler.Now();
--- a/Libraries/LibEmulator/emulated_caller.h
+++ b/Libraries/LibEmulator/emulated_caller.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/random_source.h"
@@ -49,8 +50,12 @@
                  uint64_t seed);
   ~EmulatedCaller() override;
 
+  // The customer that the caller belongs to, for the check at the targets.
+  void SetCustomer(CustomerName name) { this->customer = std::move(name); }
+
   void Start();
   void Stop() { this->is_stopped = true; }
+  bool has_session() const { return this->is_connected(); }
   const Counts& counts() const { return this->counted; }
 
   // Closes the session because the proxy's process has ended or is about to.
@@ -76,6 +81,7 @@
   std::string name;
   std::string database;
   CallerRoute route;
+  CustomerName customer;
   UnansweredClose unanswered_close;
   SeededRandom random;
   std::unique_ptr<CallerPort> port;
--- a/Libraries/LibEmulator/emulated_cluster.cc
+++ b/Libraries/LibEmulator/emulated_cluster.cc
@@ -5,6 +5,7 @@
 #include <numeric>
 #include <utility>
 
+#include "LibCore/verify.h"
 #include "LibEmulator/node_caller_port.h"
 
 namespace kingcupmill {
@@ -37,6 +38,14 @@
                                "place-e"};
 constexpr size_t kTargetPlaces = 3;
 
+CustomerName CustomerNameOf(size_t customer) {
+  return CustomerName{"customer-" + std::to_string(customer)};
+}
+
+std::string KeyOf(size_t customer) {
+  return "key-" + std::to_string(customer);
+}
+
 size_t PlaceOfTarget(const TargetName& target) {
   return static_cast<size_t>(target.value.back()) % kTargetPlaces;
 }
@@ -160,6 +169,13 @@
                               std::to_string(static_cast<int>(kind))] = route;
     }
   }
+  for (size_t customer = 0; customer < this->options.customers; ++customer) {
+    std::vector<std::string> keys;
+    if (!this->customers_without_key.contains(customer))
+      keys.push_back(KeyOf(customer));
+    KINGCUPMILL_VERIFY(
+        table.customers.Add(CustomerNameOf(customer), {}, keys).has_value());
+  }
   this->configuration = this->codec->Add(std::move(table));
   this->emulated_store.Put(kConfigurationTable, kConfigurationKey,
                            this->configuration);
@@ -230,15 +246,19 @@
     route.group =
         GroupName{"group-" + std::to_string(index / 3 % this->options.groups)};
     route.maximum_staleness = std::chrono::milliseconds(1500);
+    const size_t customers = this->options.customers;
+    const std::string key = customers == 0 ? "" : KeyOf(index % customers);
     this->callers.push_back(std::make_unique<EmulatedCaller>(
         this->scheduler, this->consistency_checker,
-        [this](CallerChannel& channel, const std::string& database) {
-          return this->OpenPort(channel, database);
+        [this, key](CallerChannel& channel, const std::string& database) {
+          return this->OpenPort(channel, database, key);
         },
         "c" + std::to_string(index),
         route.group.value + "/" + std::to_string(static_cast<int>(kind)), route,
         EmulatedCaller::UnansweredClose::kViolation,
         this->options.seed * 977 + index));
+    if (customers > 0)
+      this->callers.back()->SetCustomer(CustomerNameOf(index % customers));
     this->callers.back()->Start();
   }
 }
@@ -253,11 +273,12 @@
 
 std::unique_ptr<CallerPort> EmulatedCluster::OpenPort(
     CallerChannel& channel,
-    const std::string& database) {
+    const std::string& database,
+    const std::string& key) {
   const std::vector<size_t> candidates = this->Candidates();
   EmulatedNode& node =
       *this->nodes[candidates[this->random.Below(candidates.size())]];
-  const auto number = node.OpenSession(channel, database);
+  const auto number = node.OpenSession(channel, database, key);
   return number ? std::make_unique<NodeCallerPort>(node, *number) : nullptr;
 }
 
@@ -426,6 +447,34 @@
   this->PublishConfiguration();
 }
 
+void EmulatedCluster::RemoveKey(size_t customer) {
+  this->customers_without_key.insert(customer);
+  this->PublishConfiguration();
+}
+
+void EmulatedCluster::AddKey(size_t customer) {
+  this->customers_without_key.erase(customer);
+  this->PublishConfiguration();
+}
+
+size_t EmulatedCluster::NodesAccepting(size_t customer) {
+  size_t count = 0;
+  for (const auto& node : this->nodes) {
+    if (node->gateway() && node->gateway()->session_authorizer().Identify(
+                               "group-0/0", KeyOf(customer)))
+      ++count;
+  }
+  return count;
+}
+
+size_t EmulatedCluster::SessionsOf(size_t customer) const {
+  size_t count = 0;
+  for (size_t index = customer; index < this->callers.size();
+       index += this->options.customers)
+    count += this->callers[index]->has_session() ? 1 : 0;
+  return count;
+}
+
 void EmulatedCluster::ChangeConfigurationAfter(Duration delay) {
   this->scheduler.PostAfter(delay, [this] { this->PublishConfiguration(); });
 }
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -40,6 +40,9 @@
     // Whether callers use only proxies that the balancer has in rotation;
     // otherwise they use any proxy.
     bool has_balancer = false;
+    // How many customers are declared. If there are any, each caller has the
+    // key of one of them.
+    size_t customers = 0;
   };
 
   explicit EmulatedCluster(Options options);
@@ -90,6 +93,13 @@
                   Duration duration);
   void ChangeConfiguration();
   void ChangeConfigurationAfter(Duration delay);
+  // Publishes a configuration in which a customer has no key, or has it again.
+  void RemoveKey(size_t customer);
+  void AddKey(size_t customer);
+  // The number of proxies that open a session with the key of a customer.
+  size_t NodesAccepting(size_t customer);
+  // The number of sessions that callers of a customer have open.
+  size_t SessionsOf(size_t customer) const;
   Revision published_revision() const { return Revision{this->revision}; }
   // All open connections of a proxy, or of all of them, fall silent for good.
   // New ones work.
@@ -130,7 +140,8 @@
   // The proxies at which callers may open sessions.
   std::vector<size_t> Candidates() const;
   std::unique_ptr<CallerPort> OpenPort(CallerChannel& channel,
-                                       const std::string& database);
+                                       const std::string& database,
+                                       const std::string& key);
   EmulatedTarget& RandomTarget();
   GroupName GroupOf(const TargetName& target);
 
@@ -154,6 +165,7 @@
   std::set<TargetName> expired;
   std::map<TargetName, TargetEntry> published;
   uint64_t revision = 0;
+  std::set<size_t> customers_without_key;
   // The newest configuration as written to the store.
   std::string configuration;
   TimePoint started_at{};
--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -780,6 +780,54 @@
   }
 }
 
+// Guards against a key that stays valid at some proxies after its removal.
+TEST_CASE("emulated cluster with customers") {
+  constexpr Duration kApplyTime = std::chrono::milliseconds(5000);
+  EmulatedCluster::Options options = OptionsFor(11);
+  options.customers = 3;
+  EmulatedCluster cluster(options);
+  cluster.Start();
+  cluster.RunFor(std::chrono::seconds(3));
+  CHECK(cluster.NodesAccepting(1) == options.nodes);
+  CHECK(cluster.SessionsOf(1) > 0);
+
+  SUBCASE("serves them") {
+    CHECK(cluster.TotalCounts().writes_succeeded > 20);
+  }
+
+  SUBCASE("runs each statement on a connection of its caller's customer") {
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  SUBCASE("refuses a removed key and closes its sessions in time") {
+    SUBCASE("without faults") {}
+    SUBCASE("while the store rejects three of five proxies") {
+      for (const size_t index : {0, 2, 4})
+        cluster.FailStore(index, EmulatedStoreAccess::Fault::kRefuses,
+                          std::chrono::seconds(9));
+    }
+    SUBCASE("while the store is silent for three of five proxies") {
+      for (const size_t index : {0, 1, 3})
+        cluster.FailStore(index, EmulatedStoreAccess::Fault::kSilent,
+                          std::chrono::seconds(9));
+    }
+    cluster.RunFor(std::chrono::milliseconds(300));
+    cluster.RemoveKey(1);
+    cluster.RunFor(kApplyTime);
+    CHECK(cluster.NodesAccepting(1) == 0);
+    CHECK(cluster.SessionsOf(1) == 0);
+    CHECK(cluster.NodesAccepting(0) == options.nodes);
+    CHECK(cluster.SessionsOf(0) > 0);
+
+    SUBCASE("and accepts it in time when it is back") {
+      cluster.AddKey(1);
+      cluster.RunFor(kApplyTime);
+      CHECK(cluster.NodesAccepting(1) == options.nodes);
+      CHECK(cluster.SessionsOf(1) > 0);
+    }
+  }
+}
+
 TEST_CASE("emulated cluster keeps its guarantees under random faults") {
   for (const uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10}) {
     CAPTURE(seed);
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -50,6 +50,7 @@
           dependencies(node.dependencies),
           from(node.node_address),
           to(endpoint.target),
+          customer(endpoint.customer),
           scheduler(scheduler),
           target(node.dependencies.groups.at(endpoint.group)
                      ->Find(endpoint.target)),
@@ -109,7 +110,7 @@
       // During a partition the connection attempt gets no response.
       if (this->is_blocked())
         return;
-      this->session = this->target->OpenSession();
+      this->session = this->target->OpenSession(this->customer);
       if (!this->session) {
         const auto fail = this->handlers->did_fail;
         if (fail)
@@ -145,6 +146,7 @@
     Dependencies& dependencies;
     std::string from;
     TargetName to;
+    CustomerName customer;
     Scheduler& scheduler;
     EmulatedTarget* target;
     std::shared_ptr<ChannelHandlers> handlers;
--- a/Libraries/LibEmulator/emulated_target.cc
+++ b/Libraries/LibEmulator/emulated_target.cc
@@ -107,7 +107,8 @@
     this->entries.push_back(source[this->entries.size()]);
 }
 
-std::shared_ptr<EmulatedSession> EmulatedTarget::OpenSession() {
+std::shared_ptr<EmulatedSession> EmulatedTarget::OpenSession(
+    CustomerName customer) {
   if (!this->running)
     return nullptr;
   if (this->sessions.size() >= kMaximumSessions) {
@@ -115,6 +116,7 @@
     return nullptr;
   }
   auto session = std::make_shared<EmulatedSession>();
+  session->customer = std::move(customer);
   this->sessions.insert(session);
   this->peak_session_count =
       std::max(this->peak_session_count, this->sessions.size());
@@ -279,6 +281,7 @@
   run.transaction_attempt = session.transaction_attempt;
   run.values = &session.values;
   run.log = &this->entries;
+  run.customer = session.customer;
   return this->checker.DidRun(run);
 }
 
--- a/Libraries/LibEmulator/emulated_target.h
+++ b/Libraries/LibEmulator/emulated_target.h
@@ -22,6 +22,8 @@
 
 // One connection at a target.
 struct EmulatedSession {
+  // The customer that it was opened under, if any.
+  CustomerName customer;
   std::string owner;
   SessionContext::Values values;
   std::map<std::string, PreparedShape> prepared;
@@ -83,7 +85,7 @@
   void CopyLog(const std::vector<CommitEntry>& source, size_t count, Term term);
 
   // Returns null when the target is down or at its session limit.
-  std::shared_ptr<EmulatedSession> OpenSession();
+  std::shared_ptr<EmulatedSession> OpenSession(CustomerName customer = {});
   void CloseSession(const std::shared_ptr<EmulatedSession>& session);
   void Submit(const std::shared_ptr<EmulatedSession>& session,
               TargetCommand command);
