platform/testing, Meta: Play the soak with customers and keys

With CUSTOMERS=N the configuration of the soak declares N customers with limits that no caller reaches, callers send a key, and the stand-in for a server keeps the name that a connection was opened under, so that the checker sees statements on connections of others.

--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -7,6 +7,8 @@
 # replicas fail too.
 # With SILENCES=N open connections to the store and to servers fall silent N times
 # during the faults, and configurations are checked after further silences.
+# With CUSTOMERS=N callers belong to N customers, servers check under whose name the
+# connection of a statement was opened, and a key is added and removed all the time.
 # With OLD_BUILD=FOLDER every second proxy runs the binary of that build folder.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -37,7 +39,7 @@
   build/kingcupmill-soak --seed "$seed" --proxies "$proxies" --folder "$folder" \
     --fault-seconds "$seconds" --base-port "$port" \
     --restores "${RESTORES:-0}" --sync-replicas "${SYNC_REPLICAS:-0}" \
-    --silences "${SILENCES:-0}" \
+    --silences "${SILENCES:-0}" --customers "${CUSTOMERS:-0}" \
     >"$folder/soak.log" 2>&1 &
   soak=$!
   until [ -e "$folder/ready" ] || ! kill -0 "$soak" 2>/dev/null; do sleep 0.05; done
--- a/Utilities/kingcupmill_soak.cc
+++ b/Utilities/kingcupmill_soak.cc
@@ -90,6 +90,10 @@
                  "Replicas that must have a commit before it is acknowledged")
       ->check(CLI::Range(0, 2))
       ->capture_default_str();
+  app.add_option("--customers", options.customers,
+                 "Number of customers whose callers have keys")
+      ->check(CLI::Range(0, 100))
+      ->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   options.fault_duration = std::chrono::seconds(fault_seconds);
   kingcupmill::UseJsonLog();
