--- a/Libraries/LibDispatch/event_log.cc
+++ b/Libraries/LibDispatch/event_log.cc
@@ -16,11 +16,13 @@
   double burst;
   spdlog::level::level_enum level;
 };
-constexpr std::array<RateLimit, 4> kRateLimits = {{
+constexpr std::array<RateLimit, 5> kRateLimits = {{
     {"routed", 20, 40, spdlog::level::info},
     {"refused", 50, 100, spdlog::level::info},
     {"failed", 100, 200, spdlog::level::warn},
     {"state_change", 50, 200, spdlog::level::info},
+    // At most the open rate of each target, 14 a second in the usual size.
+    {"reassigned", 50, 100, spdlog::level::info},
 }};
 
 }  // namespace
--- a/Libraries/LibDispatch/event_log.h
+++ b/Libraries/LibDispatch/event_log.h
@@ -19,7 +19,14 @@
 // have the largest limit.
 class EventLog {
  public:
-  enum class Kind { kRouted, kRefused, kFailed, kStateChange, kCount };
+  enum class Kind {
+    kRouted,
+    kRefused,
+    kFailed,
+    kStateChange,
+    kReassigned,
+    kCount
+  };
 
   explicit EventLog(Scheduler& scheduler);
 
--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -139,7 +139,7 @@
           [this, name](const ConnectionPool::Reassignment& reassignment) {
             ++this->connections_reassigned_count;
             this->event_log.Write(
-                EventLog::Kind::kStateChange,
+                EventLog::Kind::kReassigned,
                 "event=connection_reassigned group={} target={} from={} to={} "
                 "expected_back_ms={}",
                 this->group.value, name.value, reassignment.from.value,
