LibUsage: Pool offline rates while a holder does not answer

A customer with a few operations a second has an offline rate of less than one at each proxy, so that almost every operation was refused while its holder did not answer. The proxies now transfer their offline tokens to one that can be reached, which grants whole ones.

--- a/Libraries/LibEmulator/usage_fleet.cc
+++ b/Libraries/LibEmulator/usage_fleet.cc
@@ -94,13 +94,15 @@
       return answer_later(NotSent{});
     node.scheduler->Post([&fleet, &node, bytes, answer_later] {
       const auto decoded = DecodePeerBytes(bytes);
-      node.usage->Handle(
-          std::get<UsageQuery>(std::get<NumberedQuery>(*decoded).query),
-          [&fleet, answer_later](const PeerAnswer& answer) {
-            ++fleet.message_count;
-            fleet.byte_count += EncodeAnswer(1, answer).size();
-            answer_later(answer);
-          });
+      const PeerQuery& query = std::get<NumberedQuery>(*decoded).query;
+      const auto send = [&fleet, answer_later](const PeerAnswer& answer) {
+        ++fleet.message_count;
+        fleet.byte_count += EncodeAnswer(1, answer).size();
+        answer_later(answer);
+      };
+      if (const auto* pool = std::get_if<UsagePoolQuery>(&query))
+        return node.usage->Handle(*pool, send);
+      node.usage->Handle(std::get<UsageQuery>(query), send);
     });
   });
 }
@@ -124,6 +126,10 @@
   return std::to_string(proxy);
 }
 
+PlaceName UsageFleet::PlaceOf(size_t proxy) const {
+  return PlaceName{std::to_string(this->ZoneOf(proxy))};
+}
+
 bool UsageFleet::is_cut(size_t one, size_t other) const {
   return this->scheduler.Now() < this->cut_until &&
          this->isolated.contains(one) != this->isolated.contains(other);
@@ -152,7 +158,8 @@
   node.read_at = TimePoint{};
   node.usage = std::make_unique<UsageService>(UsageService::Context{
       *node.scheduler, *node.links, *node.event_log, this->AddressOf(proxy),
-      [&node] { return node.read_at; }, this->next_incarnation});
+      this->PlaceOf(proxy), [&node] { return node.read_at; },
+      this->next_incarnation});
   node.usage->SetCustomers(this->Table());
   this->ReadMembers(proxy);
 }
@@ -165,8 +172,9 @@
     node.read_at = this->scheduler.Now();
     std::vector<UsageService::Member> members;
     for (const size_t other : this->registered)
-      members.push_back(
-          {this->AddressOf(other), this->nodes.at(other)->incarnation});
+      members.push_back({this->AddressOf(other),
+                         this->nodes.at(other)->incarnation,
+                         this->PlaceOf(other)});
     std::sort(members.begin(), members.end(),
               [](const auto& left, const auto& right) {
                 return left.address < right.address;
--- a/Libraries/LibEmulator/usage_fleet.h
+++ b/Libraries/LibEmulator/usage_fleet.h
@@ -97,6 +97,7 @@
   struct Node;
 
   std::string AddressOf(size_t proxy) const;
+  PlaceName PlaceOf(size_t proxy) const;
   bool is_cut(size_t one, size_t other) const;
   void Start(size_t proxy);
   // Lets a proxy read the membership, and schedules its next read.
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -136,11 +136,11 @@
       leases(kLeaseTerms.length, kLeaseTerms.maximum_length),
       home_assignment(this->options.peer_address),
       home_chooser(this->options.place, this->options.random_seed + 3),
-      usage(
-          UsageService::Context{dependencies.scheduler, dependencies.peers,
-                                this->event_log, this->options.peer_address,
-                                [this] { return this->coordination.read_at(); },
-                                this->options.random_seed + 4}),
+      usage(UsageService::Context{
+          dependencies.scheduler, dependencies.peers, this->event_log,
+          this->options.peer_address, this->options.place,
+          [this] { return this->coordination.read_at(); },
+          this->options.random_seed + 4}),
       relay_dialer(
           dependencies.scheduler,
           dependencies.peers,
@@ -408,7 +408,7 @@
     std::vector<UsageService::Member> members;
     for (const auto& [address, member] : this->view.members()) {
       if (!member.is_gone)
-        members.push_back({address, member.incarnation});
+        members.push_back({address, member.incarnation, member.place});
     }
     this->usage.SetMembers(members);
   }
@@ -863,6 +863,8 @@
     return send_answer(this->MakePromise());
   if (const auto* tokens = std::get_if<UsageQuery>(&query))
     return this->usage.Handle(*tokens, send_answer);
+  if (const auto* pool = std::get_if<UsagePoolQuery>(&query))
+    return this->usage.Handle(*pool, send_answer);
   if (const auto* change = std::get_if<StoreChangeQuery>(&query))
     return this->store.Handle(*change, send_answer);
   send_answer(this->HandleHealth(std::get<HealthQuery>(query)));
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -39,6 +39,8 @@
 constexpr int kPromiseAnswer = 22;
 constexpr int kUsageQuery = 23;
 constexpr int kUsageAnswer = 24;
+constexpr int kUsagePoolQuery = 25;
+constexpr int kUsagePoolAnswer = 26;
 
 json ToJson(const TableCopy& copy) {
   json rows = nullptr;
@@ -246,6 +248,13 @@
                         answer.granted, answer.offline_rate,
                         answer.wait.count()});
   }
+  json operator()(const UsagePoolQuery& query) const {
+    return json::array(
+        {kUsagePoolQuery, query.customer.value, query.deposit, query.wanted});
+  }
+  json operator()(const UsagePoolAnswer& answer) const {
+    return json::array({kUsagePoolAnswer, answer.granted});
+  }
   json operator()(const NotSent&) const {
     // Made by the querying proxy itself and never encoded.
     KINGCUPMILL_VERIFY(false);
@@ -354,11 +363,12 @@
   return body.size() > place ? CustomerName{body.at(place)} : CustomerName{};
 }
 
-// Throws json::exception unless the value is a finite rate of at least zero.
-double RateFromJson(const json& value) {
+// Reads a rate or a number of tokens. Throws json::exception unless the value
+// is finite and at least zero.
+double AmountFromJson(const json& value) {
   const double rate = value.get<double>();
   if (!std::isfinite(rate) || rate < 0)
-    throw json::other_error::create(501, "not a rate", &value);
+    throw json::other_error::create(501, "not a finite amount", &value);
   return rate;
 }
 
@@ -367,9 +377,9 @@
   query.customer.value = body.at(1);
   query.proxy = body.at(2);
   query.wanted = body.at(3);
-  query.offline_rate = RateFromJson(body.at(4));
-  query.used_rate = RateFromJson(body.at(5));
-  query.used_offline = body.at(6);
+  query.offline_rate = AmountFromJson(body.at(4));
+  query.used_rate = AmountFromJson(body.at(5));
+  query.used_offline = AmountFromJson(body.at(6));
   query.process_age = Duration(body.at(7).get<int64_t>());
   return query;
 }
@@ -379,7 +389,7 @@
   answer.is_holder = body.at(1);
   answer.is_granting = body.at(2);
   answer.granted = body.at(3);
-  answer.offline_rate = RateFromJson(body.at(4));
+  answer.offline_rate = AmountFromJson(body.at(4));
   answer.wait = Duration(body.at(5).get<int64_t>());
   return answer;
 }
@@ -458,6 +468,12 @@
       return NumberedQuery{number, UsageQueryFromJson(body)};
     case kUsageAnswer:
       return NumberedAnswer{number, UsageAnswerFromJson(body)};
+    case kUsagePoolQuery:
+      return NumberedQuery{
+          number, UsagePoolQuery{CustomerName{body.at(1)},
+                                 AmountFromJson(body.at(2)), body.at(3)}};
+    case kUsagePoolAnswer:
+      return NumberedAnswer{number, UsagePoolAnswer{body.at(1)}};
     default:
       throw json::other_error::create(501, "unknown message", &body);
   }
--- a/Libraries/LibPeer/peer_query.h
+++ b/Libraries/LibPeer/peer_query.h
@@ -200,8 +200,8 @@
   double offline_rate = 0;
   // The average rate at which it used tokens in the last seconds.
   double used_rate = 0;
-  // How many operations it has admitted without the account since its start.
-  uint64_t used_offline = 0;
+  // How many tokens of its offline rate it has used since its start.
+  double used_offline = 0;
   // How long its process has been running.
   Duration process_age{};
 };
@@ -221,6 +221,21 @@
   Duration wait{};
 };
 
+// Pools the offline rates of a customer with those of the other proxies of a
+// place, while the holder of the account does not answer: transfers tokens to
+// the peer and asks for whole ones.
+struct UsagePoolQuery {
+  CustomerName customer;
+  // The tokens transferred, usually a fraction. They are the peer's even if its
+  // answer is lost.
+  double deposit = 0;
+  uint64_t wanted = 0;
+};
+
+struct UsagePoolAnswer {
+  uint64_t granted = 0;
+};
+
 // The query was not sent, because the peer could not be reached. Made by the
 // querying proxy itself, never encoded.
 struct NotSent {};
@@ -236,7 +251,8 @@
                                ContinueQuery,
                                RollbackQuery,
                                PromiseQuery,
-                               UsageQuery>;
+                               UsageQuery,
+                               UsagePoolQuery>;
 using PeerAnswer = std::variant<StoreCopyAnswer,
                                 ClosePrimaryAnswer,
                                 HealthAnswer,
@@ -249,6 +265,7 @@
                                 RollbackAnswer,
                                 PromiseAnswer,
                                 UsageAnswer,
+                                UsagePoolAnswer,
                                 NotSent>;
 
 // Encodes a query or an answer as CBOR. An answer carries the number of its
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -144,7 +144,7 @@
       query.wanted = 12;
       query.offline_rate = 2.5;
       query.used_rate = 1.25;
-      query.used_offline = 7;
+      query.used_offline = 7.5;
       query.process_age = std::chrono::milliseconds(900);
       const UsageQuery received = EncodeAndDecode(query);
       CHECK(received.customer == query.customer);
@@ -152,7 +152,7 @@
       CHECK(received.wanted == 12);
       CHECK(received.offline_rate == 2.5);
       CHECK(received.used_rate == 1.25);
-      CHECK(received.used_offline == 7);
+      CHECK(received.used_offline == 7.5);
       CHECK(received.process_age == query.process_age);
       UsageAnswer answer;
       answer.is_holder = true;
@@ -171,6 +171,18 @@
       CHECK_FALSE(DecodePeerBytes(EncodeQuery(7, query)).has_value());
     }
 
+    SUBCASE("a query that pools offline rates, and its answer") {
+      UsagePoolQuery query;
+      query.customer.value = "acme";
+      query.deposit = 0.25;
+      query.wanted = 2;
+      const UsagePoolQuery received = EncodeAndDecode(query);
+      CHECK(received.customer == query.customer);
+      CHECK(received.deposit == 0.25);
+      CHECK(received.wanted == 2);
+      CHECK(EncodeAndDecodeAnswer(UsagePoolAnswer{3}).granted == 3);
+    }
+
     SUBCASE("statements over a lent connection") {
       TargetCommand command;
       command.kind = TargetCommandKind::kExecute;
--- a/Libraries/LibUsage/usage_account.cc
+++ b/Libraries/LibUsage/usage_account.cc
@@ -10,10 +10,13 @@
 // A proxy's offline rate in relation to its recent use, so that it can follow
 // demand while it gets no answers.
 constexpr double kOfflineRateFactor = 1.5;
-// Below this many operations within the silence limit, an offline rate is too
-// small to serve anything, and many such rates would together exceed the bound
-// when each proxy rounds up to whole operations.
-constexpr double kMinimumOfflineOperations = 0.5;
+// An offline rate of fewer operations within the silence limit serves nothing
+// before it ends, but costs queries.
+constexpr double kMinimumOfflineOperations = 0.2;
+// A holder that was frozen gets all queries that it has missed at once, oldest
+// first, and links that were cut deliver theirs late. What was subtracted for a
+// proxy covers the use that it reports until then.
+constexpr Duration kReportDelay = std::chrono::milliseconds(1500);
 // With hundreds of proxies, summing up their rates for every query would take a
 // noticeable part of a small VM.
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(5);
@@ -59,8 +62,11 @@
     Proxy& proxy = entry->second;
     const TimePoint silent_from = proxy.heard_at + this->terms.silence_limit;
     const TimePoint expires_at = proxy.heard_at + UsageTerms::kOfflineLifetime;
-    proxy.reserved += proxy.held * OverlapSeconds(this->advanced_at, now,
-                                                  silent_from, expires_at);
+    if (now > silent_from) {
+      proxy.reserved += proxy.held * OverlapSeconds(this->advanced_at, now,
+                                                    silent_from, expires_at);
+      proxy.reserved_until = now + kReportDelay;
+    }
     subtracted += proxy.held *
                   OverlapSeconds(refilled_from, now, silent_from, expires_at);
     if (now >= expires_at) {
@@ -115,16 +121,17 @@
   const bool is_granting = now >= this->granting_from;
   const bool is_new = !this->proxies.contains(query.proxy);
   Proxy& proxy = this->proxies[query.proxy];
-  // Settles the difference between what was subtracted for the proxy and what
-  // it has used. A smaller count means that its process has restarted.
+  // The account pays for what the proxy has used beyond what was subtracted for
+  // it. A smaller count means that its process has restarted.
+  if (now > proxy.reserved_until)
+    proxy.reserved = 0;
   if (!is_new && is_granting && query.used_offline >= proxy.used_offline) {
-    const auto used =
-        static_cast<double>(query.used_offline - proxy.used_offline);
-    this->tokens =
-        std::min(this->tokens + proxy.reserved - used, this->terms.depth);
+    const double used = query.used_offline - proxy.used_offline;
+    const double covered = std::min(used, proxy.reserved);
+    proxy.reserved -= covered;
+    this->tokens -= used - covered;
   }
   proxy.used_offline = query.used_offline;
-  proxy.reserved = 0;
   proxy.heard_at = now;
   this->SetHeld(proxy, query.offline_rate);
   const double wanted_rate =
--- a/Libraries/LibUsage/usage_account.h
+++ b/Libraries/LibUsage/usage_account.h
@@ -51,9 +51,11 @@
     double held = 0;
     // The offline rate that it should have by its recent use.
     double wanted_rate = 0;
-    uint64_t used_offline = 0;
-    // What was subtracted from the refill for it since its last query.
+    double used_offline = 0;
+    // What was subtracted from the refill for it, less what it has reported to
+    // have used, and until when that may cover what it reports.
     double reserved = 0;
+    TimePoint reserved_until{};
   };
 
   void Advance(double known_share, TimePoint now);
--- a/Libraries/LibUsage/usage_budget.cc
+++ b/Libraries/LibUsage/usage_budget.cc
@@ -11,8 +11,9 @@
 // expires, which costs the customer a part of its rate.
 constexpr double kAheadShare = 0.6;
 // Without an answer for this long, the offline rate is used. Operations wait
-// for 24 ms to 100 ms; those of busy customers find tokens at hand meanwhile.
-constexpr Duration kLateAfter = std::chrono::milliseconds(50);
+// for 24 ms to 100 ms, and one may need a token of the pool after that. The
+// account pays for what was used because an answer was only late.
+constexpr Duration kLateAfter = std::chrono::milliseconds(15);
 // An unanswered query is given up after this time; its tokens would have
 // expired.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(500);
@@ -23,8 +24,14 @@
 // How often the holder hears from a proxy that has an offline rate, as a share
 // of the silence limit: two queries may be late.
 constexpr double kKeepAliveShare = 0.4;
-// A short history would overestimate the rate.
-constexpr Duration kMinimumHistory = std::chrono::seconds(1);
+// The intervals at which offline tokens are pooled, without and with operations
+// that wait for one, and the time after which the peer counts as lost.
+constexpr Duration kPoolInterval = std::chrono::milliseconds(250);
+constexpr Duration kWaitingPoolInterval = std::chrono::milliseconds(15);
+constexpr Duration kPoolTimeout = std::chrono::milliseconds(15);
+// Beyond this many operations, those that wait while the account has too few
+// tokens are limited by the recent use.
+constexpr double kMinimumQueue = 2;
 // A proxy may ask for no more, whatever waits.
 constexpr uint64_t kMaximumWanted = 10'000;
 
@@ -35,7 +42,7 @@
 }  // namespace
 
 UsageBudget::UsageBudget(const UsageLimit& limit, TimePoint now)
-    : terms(limit), active_since(now), used_at(now) {}
+    : terms(limit), used_at(now) {}
 
 void UsageBudget::SetLimit(const UsageLimit& limit, TimePoint now) {
   const double scale =
@@ -74,9 +81,7 @@
   // The newest slot has not ended.
   const Duration covered = (now.time_since_epoch() % kSlotLength) +
                            kSlotLength * (static_cast<int64_t>(kSlots) - 1);
-  const Duration history = std::max(
-      std::min(covered, Duration(now - this->active_since)), kMinimumHistory);
-  return static_cast<double>(std::max<int64_t>(count, 0)) / ToSeconds(history);
+  return static_cast<double>(std::max<int64_t>(count, 0)) / ToSeconds(covered);
 }
 
 std::optional<UsageToken> UsageBudget::Take(TimePoint now) {
@@ -88,30 +93,42 @@
     --this->grants.front().count;
     this->CountUse(1, now);
     this->used_at = now;
-    return UsageToken{this->grants.front().expires_at, false};
+    return UsageToken{UsageToken::Source::kAccount,
+                      this->grants.front().expires_at};
   }
+  UsageToken token;
   const double offline = this->OfflineTokens(now);
-  if (offline < 1)
+  if (offline >= 1) {
+    this->offline_tokens = offline - 1;
+    this->offline_tokens_at = now;
+    this->used_offline += 1;
+    token.source = UsageToken::Source::kOfflineRate;
+  } else if (this->pooled_tokens > 0) {
+    --this->pooled_tokens;
+    token.source = UsageToken::Source::kPool;
+  } else {
     return std::nullopt;
-  this->offline_tokens = offline - 1;
-  this->offline_tokens_at = now;
-  ++this->used_offline;
+  }
   this->CountUse(1, now);
   this->used_at = now;
-  return UsageToken{now, true};
+  return token;
 }
 
 void UsageBudget::Return(const UsageToken& token, TimePoint now) {
   this->CountUse(-1, now);
-  if (!token.is_offline) {
+  if (token.source == UsageToken::Source::kAccount) {
     if (token.expires_at > now)
       this->grants.push_front(Grant{token.expires_at, 1});
     return;
   }
   // An offline rate that has ended meanwhile is not used again.
-  if (!this->offline_since || this->used_offline == 0)
+  if (!this->offline_since)
+    return;
+  if (token.source == UsageToken::Source::kPool) {
+    ++this->pooled_tokens;
     return;
-  --this->used_offline;
+  }
+  this->used_offline = std::max(this->used_offline - 1, 0.0);
   this->offline_tokens =
       std::min(this->OfflineTokens(now) + 1, this->OfflineDepth());
   this->offline_tokens_at = now;
@@ -132,8 +149,7 @@
 }
 
 double UsageBudget::OfflineDepth() const {
-  return std::max(1.0,
-                  this->offline_rate * ToSeconds(this->terms.silence_limit));
+  return this->offline_rate * ToSeconds(this->terms.silence_limit);
 }
 
 double UsageBudget::OfflineTokens(TimePoint now) const {
@@ -154,8 +170,14 @@
   if (this->offline_since)
     return;
   this->offline_since = now;
-  this->offline_tokens = 0;
+  this->offline_tokens =
+      this->offline_rate * ToSeconds(this->terms.offline_credit);
   this->offline_tokens_at = now;
+  this->pooled_tokens = 0;
+  this->has_lost_pool = false;
+  this->has_pool = false;
+  this->next_pool_query_at = now;
+  this->pool_query_sent_at = TimePoint{};
 }
 
 bool UsageBudget::should_ask(size_t waiting, TimePoint now) const {
@@ -177,10 +199,18 @@
   const uint64_t ahead = this->TokensAhead(now);
   const uint64_t granted = this->GrantedTokens(now);
   UsageQuery query;
-  query.wanted = std::min(waiting + (ahead > granted ? ahead - granted : 0),
-                          kMaximumWanted);
+  // A holder that was frozen answers all queries that it missed, and tokens
+  // granted for these would be lost.
+  if (!this->offline_since)
+    query.wanted = std::min(waiting + (ahead > granted ? ahead - granted : 0),
+                            kMaximumWanted);
   query.offline_rate = this->knows_holder(now) ? this->offline_rate : 0;
-  query.used_rate = this->UsedRate(now);
+  // The operations that wait count as well: the first one of a while would
+  // otherwise bring no offline rate.
+  query.used_rate =
+      this->UsedRate(now) +
+      static_cast<double>(std::min<uint64_t>(waiting, query.wanted)) /
+          ToSeconds(kSlotLength * static_cast<int64_t>(kSlots));
   query.used_offline = this->used_offline;
   this->reported_rate = query.offline_rate;
   ++this->last_query;
@@ -203,6 +233,7 @@
     return this->StartOffline(now);
   }
   this->offline_since.reset();
+  this->pooled_tokens = 0;
   const TimePoint expires_at = this->query_sent_at + this->terms.grant_lifetime;
   if (answer.granted > 0 && expires_at > now)
     this->grants.push_back(Grant{expires_at, answer.granted});
@@ -223,6 +254,11 @@
 }
 
 void UsageBudget::Refresh(TimePoint now) {
+  if (this->is_pool_query_outstanding &&
+      now - this->pool_query_sent_at >= kPoolTimeout) {
+    ++this->last_pool_query;
+    this->DidLosePool(now);
+  }
   if (!this->is_query_outstanding)
     return;
   if (now - this->query_sent_at >= kQueryTimeout) {
@@ -234,22 +270,60 @@
     this->StartOffline(now);
 }
 
+bool UsageBudget::should_pool(size_t waiting, TimePoint now) const {
+  if (!this->offline_since || this->is_pool_query_outstanding ||
+      now < this->next_pool_query_at)
+    return false;
+  return waiting > 0 || (this->offline_rate > 0 && this->knows_holder(now) &&
+                         now - this->pool_query_sent_at >= kPoolInterval);
+}
+
+UsagePoolQuery UsageBudget::StartPoolQuery(size_t waiting, TimePoint now) {
+  UsagePoolQuery query;
+  if (this->has_pool) {
+    query.deposit = this->OfflineTokens(now);
+    this->used_offline += query.deposit;
+    this->offline_tokens = 0;
+    this->offline_tokens_at = now;
+  }
+  query.wanted = std::min<uint64_t>(waiting, kMaximumWanted);
+  ++this->last_pool_query;
+  this->is_pool_query_outstanding = true;
+  this->pool_query_sent_at = now;
+  return query;
+}
+
+void UsageBudget::DidReceivePool(const UsagePoolAnswer& answer, TimePoint now) {
+  this->is_pool_query_outstanding = false;
+  this->has_lost_pool = false;
+  this->next_pool_query_at = this->has_pool ? now + kWaitingPoolInterval : now;
+  if (!this->has_pool)
+    this->pool_query_sent_at = TimePoint{};
+  this->has_pool = true;
+  if (this->offline_since)
+    this->pooled_tokens += answer.granted;
+}
+
+void UsageBudget::DidLosePool(TimePoint now) {
+  this->is_pool_query_outstanding = false;
+  this->has_lost_pool = true;
+  this->has_pool = false;
+  this->next_pool_query_at = now;
+}
+
 bool UsageBudget::is_hopeless(size_t waiting,
                               Duration limit,
                               TimePoint now) const {
   const auto needed = static_cast<double>(waiting + 1);
   if (this->offline_since) {
-    // The answer to an outstanding query may bring tokens.
-    if (!this->knows_holder(now) || this->offline_rate <= 0)
-      return !this->is_query_outstanding;
-    return this->OfflineTokens(now) + this->offline_rate * ToSeconds(limit) <
-           needed;
+    // The pool may bring tokens, whatever rate this proxy has.
+    return needed > kMinimumQueue + this->UsedRate(now) * ToSeconds(limit);
   }
   if (!this->next_token_at)
     return false;
   // The other proxies wait for tokens too, so this one expects its recent rate.
   return *this->next_token_at > now + limit ||
-         needed > 1 + this->UsedRate(now) * ToSeconds(limit);
+         needed > kMinimumQueue + this->UsedRate(now) * ToSeconds(limit);
 }
 
 bool UsageBudget::is_idle(TimePoint now) const {
--- a/Libraries/LibUsage/usage_budget.h
+++ b/Libraries/LibUsage/usage_budget.h
@@ -38,6 +38,17 @@
   bool has_query() const { return this->is_query_outstanding; }
   void DidReceive(const UsageAnswer& answer, TimePoint now);
   void DidLoseAnswer(TimePoint now);
+
+  // Whether to pool offline tokens now, in the same way.
+  bool should_pool(size_t waiting, TimePoint now) const;
+  UsagePoolQuery StartPoolQuery(size_t waiting, TimePoint now);
+  uint64_t pool_query_number() const { return this->last_pool_query; }
+  bool has_pool_query() const { return this->is_pool_query_outstanding; }
+  // Whether the peer that pools tokens has answered lately, or was not asked.
+  bool is_pool_lost() const { return this->has_lost_pool; }
+  void DidReceivePool(const UsagePoolAnswer& answer, TimePoint now);
+  void DidLosePool(TimePoint now);
+
   // Notices that an answer is late. Called at short intervals.
   void Refresh(TimePoint now);
 
@@ -79,7 +90,6 @@
   // Uses in the last slots of time, and the newest of these slots.
   std::array<int64_t, kSlots> uses{};
   int64_t newest_slot = 0;
-  TimePoint active_since{};
   TimePoint used_at{};
 
   bool is_query_outstanding = false;
@@ -99,7 +109,18 @@
   // As of `offline_tokens_at`.
   double offline_tokens = 0;
   TimePoint offline_tokens_at{};
-  uint64_t used_offline = 0;
+  double used_offline = 0;
+
+  // Tokens that came from the pool.
+  uint64_t pooled_tokens = 0;
+  bool is_pool_query_outstanding = false;
+  bool has_lost_pool = false;
+  // Whether the peer that pools tokens has answered since the offline rate is
+  // in use. Tokens are not transferred before that, since they would be lost.
+  bool has_pool = false;
+  uint64_t last_pool_query = 0;
+  TimePoint pool_query_sent_at{};
+  TimePoint next_pool_query_at{};
 };
 
 }  // namespace kingcupmill
--- a/Libraries/LibUsage/usage_limited_dispatcher_test.cc
+++ b/Libraries/LibUsage/usage_limited_dispatcher_test.cc
@@ -56,7 +56,7 @@
     declaration.usage_limit = UsageLimit{10, 10};
     (void)table.Add(CustomerName{"limited"}, declaration, {});
     this->usage.SetCustomers(table);
-    this->usage.SetMembers({{"holder", "1"}});
+    this->usage.SetMembers({{"holder", "1", PlaceName{"a"}}});
     this->dispatcher = std::make_unique<UsageLimitedDispatcher>(
         this->usage, [this] { return this->found; });
   }
@@ -84,7 +84,7 @@
   ScriptedPeerLinks peers;
   EventLog event_log{scheduler};
   UsageService usage{
-      UsageService::Context{scheduler, peers, event_log, "self",
+      UsageService::Context{scheduler, peers, event_log, "self", PlaceName{"a"},
                             [this] { return this->scheduler.Now(); }, 1}};
   HeldDispatcher inner;
   RequestDispatcher* found = &inner;
--- a/Libraries/LibUsage/usage_service.cc
+++ b/Libraries/LibUsage/usage_service.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
+#include <set>
 #include <utility>
 
 namespace kingcupmill {
@@ -16,6 +18,10 @@
 // is not answered in time. The budget gives up a query earlier than that.
 constexpr Duration kLinkTimeout = std::chrono::milliseconds(1000);
 // Waits are short, so their deadlines are checked often while there are any.
+// How many members of its own place a proxy tries as the pool.
+constexpr size_t kPoolsInPlace = 2;
+// The tokens in a pool are dropped after this time without a deposit.
+constexpr Duration kPoolLifetime = std::chrono::milliseconds(1000);
 constexpr Duration kWaitingTickInterval = std::chrono::milliseconds(5);
 constexpr Duration kActiveTickInterval = std::chrono::milliseconds(25);
 // Refused callers are told to return after this at least and at most.
@@ -133,16 +139,25 @@
 
 void UsageService::ChooseHolder(const CustomerName& name, Customer& customer) {
   const Member* best = nullptr;
+  const Member* second = nullptr;
   uint64_t best_score = 0;
+  uint64_t second_score = 0;
   for (size_t index = 0; index < this->members.size(); ++index) {
+    const Member& member = this->members.at(index);
     const uint64_t score =
         ScoreOf(customer.hash, this->member_hashes.at(index));
-    if (best && score <= best_score)
-      continue;
-    best = &this->members.at(index);
-    best_score = score;
+    if (!best || score > best_score) {
+      second = std::exchange(best, &member);
+      second_score = std::exchange(best_score, score);
+    } else if (!second || score > second_score) {
+      second = &member;
+      second_score = score;
+    }
   }
   customer.holder = best ? best->address : std::string();
+  customer.first_pool = second ? second->address : std::string();
+  customer.pool_address.clear();
+  customer.lost_pools = 0;
   const bool is_holder = best && best->address == this->context.address;
   if (!is_holder && customer.account) {
     customer.account.reset();
@@ -201,8 +216,13 @@
       this->Query(name, customer, 1);
     if (const auto token = budget.Take(now))
       return *token;
+    if (budget.should_pool(1, now))
+      this->Pool(name, customer, 1);
+    if (const auto token = budget.Take(now))
+      return *token;
   }
-  if (budget.is_hopeless(customer.waiters.size(), limit, now))
+  if (customer.holder.empty() ||
+      budget.is_hopeless(customer.waiters.size(), limit, now))
     return this->Refuse(name, customer);
   return std::nullopt;
 }
@@ -299,14 +319,109 @@
       waiter.did_decide(this->Refuse(name, customer));
   }
   this->QueryIfDue(name, customer);
+  this->PoolIfDue(name, customer);
+}
+
+void UsageService::PoolIfDue(const CustomerName& name, Customer& customer) {
+  const size_t waiting = customer.waiters.size();
+  if (customer.budget->should_pool(waiting, this->context.scheduler.Now()))
+    this->Pool(name, customer, waiting);
+}
+
+void UsageService::Pool(const CustomerName& name,
+                        Customer& customer,
+                        size_t waiting) {
+  if (customer.budget->is_pool_lost()) {
+    customer.pool_address.clear();
+    ++customer.lost_pools;
+  }
+  if (customer.pool_address.empty())
+    this->ChoosePool(customer);
+  const TimePoint now = this->context.scheduler.Now();
+  UsagePoolQuery query = customer.budget->StartPoolQuery(waiting, now);
+  query.customer = name;
+  if (customer.pool_address == this->context.address)
+    return customer.budget->DidReceivePool(this->AnswerPool(query), now);
+  this->context.peers.Ask(
+      customer.pool_address, query, kLinkTimeout,
+      this->life.Wrap(
+          [this, name, number = customer.budget->pool_query_number()](
+              const std::optional<PeerAnswer>& answer) {
+            this->DidReceivePool(name, number, answer);
+          }));
+}
+
+void UsageService::DidReceivePool(const CustomerName& name,
+                                  uint64_t number,
+                                  const std::optional<PeerAnswer>& answer) {
+  const auto found = this->customers.find(name);
+  if (found == this->customers.end())
+    return;
+  Customer& customer = found->second;
+  if (!customer.budget || !customer.budget->has_pool_query() ||
+      customer.budget->pool_query_number() != number)
+    return;
+  const TimePoint now = this->context.scheduler.Now();
+  const auto* pool = answer ? std::get_if<UsagePoolAnswer>(&*answer) : nullptr;
+  if (pool)
+    customer.budget->DidReceivePool(*pool, now);
+  else
+    customer.budget->DidLosePool(now);
+  this->ServeWaiters(name, customer);
+}
+
+void UsageService::ChoosePool(Customer& customer) const {
+  // One pool for all serves best when only the holder is lost. When this place
+  // is cut off, one in the place is needed.
+  std::vector<std::pair<uint64_t, const std::string*>> own_place;
+  for (size_t index = 0; index < this->members.size(); ++index) {
+    const Member& member = this->members.at(index);
+    if (member.place == this->context.place &&
+        member.address != customer.holder &&
+        member.address != customer.first_pool)
+      own_place.emplace_back(
+          ScoreOf(customer.hash, this->member_hashes.at(index)),
+          &member.address);
+  }
+  std::sort(own_place.begin(), own_place.end(), std::greater<>());
+  const size_t choices = 1 + std::min(own_place.size(), kPoolsInPlace);
+  const size_t choice = customer.lost_pools % choices;
+  customer.pool_address =
+      choice == 0 ? customer.first_pool : *own_place.at(choice - 1).second;
+  if (customer.pool_address.empty())
+    customer.pool_address = this->context.address;
+}
+
+UsagePoolAnswer UsageService::AnswerPool(const UsagePoolQuery& query) {
+  UsagePoolAnswer answer;
+  const auto found = this->customers.find(query.customer);
+  if (found == this->customers.end())
+    return answer;
+  Customer& customer = found->second;
+  const TimePoint now = this->context.scheduler.Now();
+  if (now - customer.pool_deposit_at > kPoolLifetime)
+    customer.pool = 0;
+  customer.pool_deposit_at = now;
+  std::set<PlaceName> places;
+  for (const Member& member : this->members)
+    places.insert(member.place);
+  // Half of the room is for the pool of all proxies, and half for those of the
+  // places.
+  double room = UsageTerms(customer.limit).pool_room / 2;
+  if (customer.first_pool != this->context.address)
+    room /= static_cast<double>(std::max<size_t>(places.size(), 1));
+  room = std::max(room, 1.0);
+  customer.pool = std::min(customer.pool + query.deposit, room);
+  answer.granted = std::min(query.wanted, static_cast<uint64_t>(customer.pool));
+  customer.pool -= static_cast<double>(answer.granted);
+  return answer;
 }
 
 UsageRefusal UsageService::Refuse(const CustomerName& name,
                                   Customer& customer) {
   const TimePoint now = this->context.scheduler.Now();
   UsageRefusal refusal;
-  refusal.is_limit_unknown =
-      customer.budget->is_offline() && !customer.budget->knows_holder(now);
+  refusal.is_limit_unknown = !customer.budget->knows_holder(now);
   ++(refusal.is_limit_unknown ? this->refused_unknown
                               : this->refused_over_limit);
   // Each caller is told to return after the one before it, at the rate at
@@ -342,6 +457,11 @@
   send_answer(this->Answer(query));
 }
 
+void UsageService::Handle(const UsagePoolQuery& query,
+                          const PeerLinks::SendAnswer& send_answer) {
+  send_answer(this->AnswerPool(query));
+}
+
 UsageAnswer UsageService::Answer(const UsageQuery& query) {
   const TimePoint now = this->context.scheduler.Now();
   const auto found = this->customers.find(query.customer);
--- a/Libraries/LibUsage/usage_service.h
+++ b/Libraries/LibUsage/usage_service.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "LibCore/lifetime_guard.h"
+#include "LibCore/names.h"
 #include "LibCore/random_source.h"
 #include "LibCore/scheduler.h"
 #include "LibDirectory/customer_table.h"
@@ -32,8 +33,9 @@
     Scheduler& scheduler;
     PeerLinks& peers;
     EventLog& event_log;
-    // The address of this proxy.
+    // The address of this proxy, and its place.
     std::string address;
+    PlaceName place;
     // Returns when the copy of the membership was current.
     std::function<TimePoint()> members_read_at;
     uint64_t random_seed = 0;
@@ -44,6 +46,7 @@
     std::string address;
     // Unique per start of its process.
     std::string incarnation;
+    PlaceName place;
   };
 
   using DidDecide = std::function<void(UsageDecision)>;
@@ -87,6 +90,9 @@
     return this->customers.at(customer).holder;
   }
 
+  void Handle(const UsagePoolQuery& query,
+              const PeerLinks::SendAnswer& send_answer);
+
   std::string FormatMetrics() const;
 
  private:
@@ -106,6 +112,16 @@
     // Only while the customer is active here.
     std::unique_ptr<UsageBudget> budget;
     std::deque<Waiter> waiters;
+    // The member that pools offline tokens if it can be reached: the next after
+    // the holder.
+    std::string first_pool;
+    // The member that this proxy uses for that; chosen when needed.
+    std::string pool_address;
+    // How many members were tried before it and did not answer.
+    size_t lost_pools = 0;
+    // The offline tokens that other proxies have transferred to this one.
+    double pool = 0;
+    TimePoint pool_deposit_at{};
     // When the last refused caller was told to return.
     TimePoint last_return_at{};
   };
@@ -123,6 +139,14 @@
   void DidReceive(const CustomerName& name,
                   uint64_t number,
                   const std::optional<PeerAnswer>& answer);
+  // Pools offline tokens if the budget needs it.
+  void PoolIfDue(const CustomerName& name, Customer& customer);
+  void Pool(const CustomerName& name, Customer& customer, size_t waiting);
+  void DidReceivePool(const CustomerName& name,
+                      uint64_t number,
+                      const std::optional<PeerAnswer>& answer);
+  void ChoosePool(Customer& customer) const;
+  UsagePoolAnswer AnswerPool(const UsagePoolQuery& query);
   UsageAnswer Answer(const UsageQuery& query);
   // Returns the part of the offline rates unknown to the account that certainly
   // no proxy holds.
--- a/Libraries/LibUsage/usage_terms.cc
+++ b/Libraries/LibUsage/usage_terms.cc
@@ -7,12 +7,17 @@
 namespace {
 
 constexpr double kDepthShare = 0.4;
-constexpr double kMinimumDepth = 4;
+constexpr double kMinimumDepth = 8;
 constexpr std::chrono::duration<double> kBaseTime(0.5);
-// Half of the 20 operations that the bound allows beyond the rate and the burst
-// goes into a longer silence limit: with a small rate, queries that only show
-// that a proxy is connected would otherwise outnumber the operations.
-constexpr double kExtraSilenceOperations = 10;
+// Of the 20 operations that the bound allows beyond the rate and the burst, a
+// part goes into a longer silence limit: with a small rate, queries that only
+// show that a proxy is connected would otherwise outnumber the operations.
+constexpr double kExtraSilenceOperations = 5;
+// Another part is there when proxies begin to use their offline rates: it would
+// take seconds until a small rate yields one operation.
+constexpr double kOfflineCreditOperations = 5;
+// A part that is not used otherwise.
+constexpr double kMargin = 4;
 // Well below the validity of an offline rate.
 constexpr std::chrono::duration<double> kMaximumSilenceLimit(4);
 
@@ -29,6 +34,15 @@
       limit.rate > 0 ? kExtraSilenceOperations * scale / limit.rate : 0);
   this->silence_limit = duration_cast<Duration>(
       std::min(kBaseTime * scale + extra, kMaximumSilenceLimit));
+  this->offline_credit = duration_cast<Duration>(std::min(
+      std::chrono::duration<double>(
+          limit.rate > 0 ? kOfflineCreditOperations * scale / limit.rate : 0),
+      kMaximumSilenceLimit));
+  // Offline rates are in use only after the silence limit, so that unused
+  // tokens may take its place in the bound.
+  this->pool_room = 0.1 * (5 * limit.rate + limit.burst) + limit.burst + 20 -
+                    this->depth - limit.rate * kBaseTime.count() * scale -
+                    kMargin;
 }
 
 }  // namespace kingcupmill
--- a/Libraries/LibUsage/usage_terms.h
+++ b/Libraries/LibUsage/usage_terms.h
@@ -27,6 +27,11 @@
   // for this long. A proxy's own bucket of offline tokens holds as much as the
   // offline rate yields in this time.
   Duration silence_limit{};
+  // The offline tokens at the start of the use of an offline rate, as what the
+  // rate yields in this time. It matters to small rates only.
+  Duration offline_credit{};
+  // How many unused offline tokens the pools of all places may hold together.
+  double pool_room = 0;
 
   explicit UsageTerms(const UsageLimit& limit);
 };
--- a/Libraries/LibUsage/usage_token.h
+++ b/Libraries/LibUsage/usage_token.h
@@ -9,10 +9,10 @@
 
 // The right to run one operation.
 struct UsageToken {
-  // Granted by the account until then; nothing was granted for a token of the
-  // offline rate.
+  enum class Source { kAccount, kOfflineRate, kPool };
+  Source source = Source::kAccount;
+  // Only for tokens of the account.
   TimePoint expires_at{};
-  bool is_offline = false;
 };
 
 // Why an operation may not run.
