--- a/Libraries/LibEmulator/usage_fleet.cc
+++ b/Libraries/LibEmulator/usage_fleet.cc
@@ -190,9 +190,17 @@
 void UsageFleet::SetLimit(const std::string& customer,
                           UsageLimit limit,
                           Duration delay) {
+  this->AddLimit(customer, limit);
+  this->ApplyLimits(delay);
+}
+
+void UsageFleet::AddLimit(const std::string& customer, UsageLimit limit) {
   this->limits[customer] = limit;
   this->totals_by_customer.try_emplace(customer);
   this->admitted_at.try_emplace(customer);
+}
+
+void UsageFleet::ApplyLimits(Duration delay) {
   for (size_t proxy = 0; proxy < this->nodes.size(); ++proxy) {
     Node& node = *this->nodes.at(proxy);
     if (!node.is_running())
@@ -348,6 +356,11 @@
       milliseconds(300), [this, proxy] { this->registered.insert(proxy); });
 }
 
+void UsageFleet::ClearAdmitted() {
+  for (auto& [customer, times] : this->admitted_at)
+    times.clear();
+}
+
 void UsageFleet::ClearTotals() {
   for (auto& [customer, totals] : this->totals_by_customer)
     totals = Totals{};
--- a/Libraries/LibEmulator/usage_fleet.h
+++ b/Libraries/LibEmulator/usage_fleet.h
@@ -43,6 +43,9 @@
   void SetLimit(const std::string& customer,
                 UsageLimit limit,
                 Duration delay = Duration(0));
+  // Sets limits that proxies know after ApplyLimits().
+  void AddLimit(const std::string& customer, UsageLimit limit);
+  void ApplyLimits(Duration delay = Duration(0));
   // Sets the operations a second that a customer's callers send to one proxy.
   // They arrive at random times.
   void SetDemand(const std::string& customer, size_t proxy, double rate);
@@ -83,7 +86,8 @@
   static uint64_t Bound(const UsageLimit& limit) {
     return static_cast<uint64_t>((5 * limit.rate + limit.burst) * 1.1 + 20);
   }
-  void ClearAdmitted() { this->admitted_at.clear(); }
+  // Forgets what was admitted so far, for MaximumInWindow().
+  void ClearAdmitted();
   // Operations admitted from this time on, as times since the fleet's start.
   const std::vector<TimePoint>& admissions(const std::string& customer) const {
     return this->admitted_at.at(customer);
--- a/Libraries/LibUsage/usage_account.cc
+++ b/Libraries/LibUsage/usage_account.cc
@@ -12,11 +12,15 @@
 constexpr double kOfflineRateFactor = 1.5;
 // An offline rate of fewer operations within the silence limit serves nothing
 // before it ends, but costs queries.
-constexpr double kMinimumOfflineOperations = 0.2;
+constexpr double kMinimumOfflineOperations = 0.12;
 // A holder that was frozen gets all queries that it has missed at once, oldest
 // first, and links that were cut deliver theirs late. What was subtracted for a
 // proxy covers the use that it reports until then.
 constexpr Duration kReportDelay = std::chrono::milliseconds(1500);
+// What a new account has. The bound leaves room for it, and a customer with one
+// operation a minute would otherwise be refused for a minute whenever the
+// holder changes.
+constexpr double kInitialTokens = 3;
 // With hundreds of proxies, summing up their rates for every query would take a
 // noticeable part of a small VM.
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(5);
@@ -43,7 +47,9 @@
     : terms(limit),
       unknown_until(became_holder_at + UsageTerms::kOfflineLifetime),
       granting_from(granting_from),
-      advanced_at(now) {}
+      advanced_at(now),
+      tokens(kInitialTokens),
+      refill_rate(limit.rate) {}
 
 void UsageAccount::SetLimit(const UsageLimit& limit, TimePoint now) {
   this->Advance(0, now);
