--- a/Libraries/LibLink/fake_dialer.h
+++ b/Libraries/LibLink/fake_dialer.h
@@ -90,9 +90,9 @@
     }
 
     void Close() override {
-      if (std::exchange(this->is_closed, true))
+      if (this->is_closed)
         return;
-      this->handlers = {};
+      this->End();
       this->dialer.scheduler.PostAfter(
           std::chrono::microseconds(1400),
           this->dialer.life.Wrap(
@@ -107,11 +107,18 @@
         return;
       if (!this->dialer.is_at_connection_limit)
         return this->handlers.did_open(std::nullopt);
+      // The target ends it, so it no longer counts there.
       const auto did_fail = this->handlers.did_fail;
-      this->Close();
+      this->End();
+      --this->dialer.open_by_target.at(this->endpoint.target);
       did_fail(ConnectionFailure::kConnectionLimit);
     }
 
+    void End() {
+      this->is_closed = true;
+      this->handlers = {};
+    }
+
     FakeDialer& dialer;
     TargetEndpoint endpoint;
     ChannelHandlers handlers;
--- a/Libraries/LibRelay/loan_server_test.cc
+++ b/Libraries/LibRelay/loan_server_test.cc
@@ -84,19 +84,18 @@
         BorrowQuery{"other", TestHome::group(), TestHome::Target(1), {}},
         send_answer);
     home.RunFor(milliseconds(60));
-    if (is_lent()) {
-      RelayQuery relay;
-      relay.loan = "other";
-      relay.timeout = seconds(1);
-      TargetCommand command;
-      command.kind = TargetCommandKind::kStatement;
-      command.text = "for ";
-      relay.commands = {command};
-      server.Handle(relay, send_answer);
-      home.RunFor(milliseconds(20));
-      CHECK(home.CountOwnStatements() == 1);
-      CHECK(home.CountForeignStatements() == 0);
-    }
+    REQUIRE(is_lent());
+    RelayQuery relay;
+    relay.loan = "other";
+    relay.timeout = seconds(1);
+    TargetCommand command;
+    command.kind = TargetCommandKind::kStatement;
+    command.text = "for ";
+    relay.commands = {command};
+    server.Handle(relay, send_answer);
+    home.RunFor(milliseconds(20));
+    CHECK(home.CountOwnStatements() == 1);
+    CHECK(home.CountForeignStatements() == 0);
   }
 }
 
