--- a/Libraries/LibRelay/forwarding_dispatcher_test.cc
+++ b/Libraries/LibRelay/forwarding_dispatcher_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "LibCore/virtual_scheduler.h"
@@ -81,6 +82,34 @@
     CHECK(fixture.dispatcher.open_count() == 0);
   }
 
+  SUBCASE("goes to the home of its customer, on all proxies") {
+    fixture.homes.clear();
+    for (const char* address : {"a", "b", "c", "d"})
+      fixture.homes.push_back({address, PlaceName{"accra-a"}});
+    HomeChooser of_another_proxy(PlaceName{"accra-a"}, 99);
+    for (const char* name : {"harbour", "museum", "station", "market"}) {
+      const CustomerName customer{name};
+      DispatchRequest request =
+          MakeRequest(RequestKind::kRead, fixture.scheduler.Now());
+      request.customer = customer;
+      fixture.dispatcher.Submit(std::move(request), [](DispatchOutcome) {});
+      CHECK(fixture.peers.pending_queries.front().address ==
+            of_another_proxy.Choose(fixture.homes, {}, customer,
+                                    fixture.scheduler.Now()));
+      CHECK(fixture.peers.Oldest<ForwardQuery>().customer == customer);
+
+      // A lost home is followed by the next one in the customer's order.
+      const std::string first = fixture.peers.pending_queries.front().address;
+      fixture.peers.Answer(PeerAnswer(NotSent()));
+      REQUIRE(fixture.peers.pending_queries.size() == 1);
+      CHECK(fixture.peers.pending_queries.front().address ==
+            of_another_proxy.Choose(fixture.homes, {first}, customer,
+                                    fixture.scheduler.Now()));
+      fixture.peers.Answer(AcceptedAnswer());
+      fixture.scheduler.RunFor(std::chrono::seconds(1));
+    }
+  }
+
   SUBCASE("is refused at once when isolated from the places of all homes") {
     fixture.homes = {{"b", PlaceName{"tema-c"}}};
     fixture.is_isolated = true;
