LibDispatch: Offer a customer's connection demand once in a pass

Under overload each pass over the queue offered every waiting request of a customer to all targets, although the first one had been refused. The next ones are now skipped until the following pass.

--- a/Libraries/LibDispatch/connection_provider.cc
+++ b/Libraries/LibDispatch/connection_provider.cc
@@ -30,7 +30,7 @@
 void ConnectionProvider::Provide(const CustomerName& customer,
                                  std::span<const Candidate> candidates,
                                  size_t queued,
-                                 TimePoint wait_until) const {
+                                 TimePoint wait_until) {
   if (candidates.empty())
     return;
   const auto found = this->waiting_by_customer.find(customer);
@@ -49,6 +49,8 @@
       cheapest.Borrow(customer);
     return;
   }
+  if (this->refused.contains({customer, by_cost.front().target}))
+    return;
   size_t opening = 0;
   for (const Candidate& candidate : by_cost)
     opening += candidate.target->pool->opening_count(customer);
@@ -59,6 +61,7 @@
     if (candidate.target->pool->Provide(demand))
       return;
   }
+  this->refused.emplace(customer, by_cost.front().target);
   cheapest.AddClaim(demand);
   if (cheapest.is_backing_off() || cheapest.is_exhausted())
     cheapest.Borrow(customer);
--- a/Libraries/LibDispatch/connection_provider.h
+++ b/Libraries/LibDispatch/connection_provider.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <span>
+#include <utility>
 
 #include "LibCore/names.h"
 #include "LibCore/time.h"
@@ -23,7 +25,10 @@
   };
 
   // Restarts the count of queued requests.
-  void BeginPass() { this->waiting_by_customer.clear(); }
+  void BeginPass() {
+    this->waiting_by_customer.clear();
+    this->refused.clear();
+  }
   void AddWaiting(const CustomerName& customer) {
     ++this->waiting_by_customer[customer];
   }
@@ -38,10 +43,14 @@
   void Provide(const CustomerName& customer,
                std::span<const Candidate> candidates,
                size_t queued,
-               TimePoint wait_until) const;
+               TimePoint wait_until);
 
  private:
   std::map<CustomerName, size_t> waiting_by_customer;
+  // The customers that got nothing in this pass, with the target that would
+  // have cost least. The next request of the same customer gets nothing either,
+  // so that a pass over a long queue stays cheap.
+  std::set<std::pair<CustomerName, const TargetView*>> refused;
 };
 
 // Returns how many connections per second a home may open to a target with
--- a/Libraries/LibLink/connection_pool.cc
+++ b/Libraries/LibLink/connection_pool.cc
@@ -298,11 +298,10 @@
 }
 
 void ConnectionPool::AddClaim(const Demand& demand) {
-  const TimePoint now = this->scheduler.Now();
-  std::erase_if(this->claims,
-                [&](const auto& claim) { return claim.second.until <= now; });
   const auto added =
-      this->claims.try_emplace(demand.customer, Claim{now, {}, 0}).first;
+      this->claims
+          .try_emplace(demand.customer, Claim{this->scheduler.Now(), {}, 0})
+          .first;
   added->second.until = std::max(added->second.until, demand.wait_until);
   added->second.waiting = demand.waiting;
   this->StartClaimTimer();
