LibUsage: Allow a wait to be cancelled while its limit is removed

When a limit is removed, the operations that wait are admitted one after the other. If one of them ended a session that had another one waiting, the cancel looked up the removed customer and threw, and the cancelled operation would have run. A test cancels one operation from the outcome of another.

--- a/Libraries/LibUsage/usage_limited_dispatcher_test.cc
+++ b/Libraries/LibUsage/usage_limited_dispatcher_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,6 +67,8 @@
                                     [this](DispatchOutcome outcome) {
                                       ++this->finished;
                                       this->outcome = std::move(outcome);
+                                      if (this->did_finish)
+                                        this->did_finish();
                                     });
   }
   void Grant(uint64_t count, Duration wait = Duration(0)) {
@@ -90,6 +93,7 @@
   RequestDispatcher* found = &inner;
   std::unique_ptr<UsageLimitedDispatcher> dispatcher;
   int finished = 0;
+  std::function<void()> did_finish;
   std::optional<DispatchOutcome> outcome;
 };
 
@@ -195,6 +199,16 @@
       this->inner.Finish();
       CHECK(this->finished == 1);
     }
+
+    SUBCASE("and may be cancelled by another one when the limit is removed") {
+      RequestDispatcher::RequestNumber other = 0;
+      this->inner.refuses = true;
+      this->did_finish = [&] { this->dispatcher->Cancel(other); };
+      other = this->Submit("limited");
+      this->usage.SetCustomers(CustomerTable());
+      CHECK(this->inner.callbacks.size() == 1);
+      CHECK(this->finished == 1);
+    }
   }
 
   SUBCASE("are refused when the group has lost its targets meanwhile") {
--- a/Libraries/LibUsage/usage_service.cc
+++ b/Libraries/LibUsage/usage_service.cc
@@ -80,8 +80,9 @@
       customer.budget->SetLimit(customer.limit, now);
   }
   for (Waiter& waiter : unlimited) {
-    this->customer_by_wait.erase(waiter.number);
-    waiter.did_decide(UsageToken{});
+    // A callback may cancel the others.
+    if (this->customer_by_wait.erase(waiter.number) > 0)
+      waiter.did_decide(UsageToken{});
   }
 }
 
@@ -243,9 +244,12 @@
   const auto found = this->customer_by_wait.find(number);
   if (found == this->customer_by_wait.end())
     return;
-  std::erase_if(
-      this->customers.at(found->second).waiters,
-      [number](const Waiter& waiter) { return waiter.number == number; });
+  // The customer's limit may just have been removed.
+  const auto customer = this->customers.find(found->second);
+  if (customer != this->customers.end())
+    std::erase_if(customer->second.waiters, [number](const Waiter& waiter) {
+      return waiter.number == number;
+    });
   this->customer_by_wait.erase(found);
 }
 
