LibEmulator: Skip proxies without a membership when looking for a holder

A process that restarts while it is cut off has read no membership, and the property of the usage limits stopped with an exception from the empty address.

--- a/Libraries/LibEmulator/usage_fleet.cc
+++ b/Libraries/LibEmulator/usage_fleet.cc
@@ -298,8 +298,12 @@
 
 size_t UsageFleet::HolderOf(const std::string& customer) const {
   for (const auto& node : this->nodes) {
-    if (node->is_running())
-      return std::stoul(node->usage->HolderOf(CustomerName{customer}));
+    if (!node->is_running())
+      continue;
+    // A process that has not read the membership knows of no holder.
+    const std::string& holder = node->usage->HolderOf(CustomerName{customer});
+    if (!holder.empty())
+      return std::stoul(holder);
   }
   return 0;
 }
