LibDispatch: Queue requests fairly between customers

Under overload the queue of a group knew only the route's priority and the time left, so the backlog of one customer delayed all others of the same route. RequestQueue now holds what GroupDispatcher did for its queue: order, expiry and refusal on arrival. FairOrder puts the route's priority first, then the customer's, then start-time fair queueing between customers by weight, then least time left. Without customers the order is the one before, which a test compares over 2,000 random steps.

The forecast counts the requests that are served first in this order. For declared customers it also looks at the starts of the same priority and of the same customer, and refuses at the limit instead of a quarter above it, because a backlog that expires as fast as it grows never gets longer than the limit. A priority of which nothing was started for twice the time that a request can wait refuses new requests until the waiting ones are gone.

A request that is cancelled while it waits for another attempt is finished, so that a late answer no longer queues it again.

--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -16,10 +16,6 @@
 // The fraction of its latency target that a statement waits while no target can
 // run it. A longer wait only delays the caller's retry at another proxy.
 constexpr double kMaximumWaitShareWithoutTarget = 0.25;
-// The fraction of its latency target that a statement waits while targets are
-// busy. A statement that starts later is answered too late, and uses capacity
-// that others need to be answered in time.
-constexpr double kMaximumWaitShareWhenBusy = 0.65;
 // A probe takes one round trip; the rest allows for a slow VM.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
 // A probe sent on a connection with a running statement waits for that
@@ -66,17 +62,12 @@
   RequestNumber number = 0;
   DispatchRequest request;
   DispatchCallback did_finish;
-  QueueKey key;
-  bool is_queued = false;
-  // When it is refused unless it was started before.
-  TimePoint queued_until{};
   bool is_finished = false;
   // Attempts that were sent and have not ended.
   int attempts_in_flight = 0;
   int attempt_count = 0;
   // Targets that could not serve the request.
   std::set<TargetName> excluded_targets;
-  Scheduler::TimerId queue_timer = 0;
   Scheduler::TimerId hedge_timer = 0;
   const char* waiting_for = "a target";
 };
@@ -94,7 +85,9 @@
       event_log(event_log),
       group(std::move(group)),
       place(std::move(place)),
-      target_drain_limit(target_drain_limit) {}
+      target_drain_limit(target_drain_limit),
+      queue(scheduler,
+            [this](RequestNumber number) { this->DidExpireInQueue(number); }) {}
 
 GroupDispatcher::~GroupDispatcher() {
   // Unanswered commands hold references to their connections, so close
@@ -173,33 +166,18 @@
   pending->number = this->next_number++;
   pending->request = std::move(request);
   pending->did_finish = std::move(did_finish);
-  pending->key = QueueKey(
-      pending->request.route.priority,
-      pending->request.received_at + pending->request.route.target_latency,
-      pending->number);
   this->pending_by_number.emplace(pending->number, pending);
   const RequestNumber number = pending->number;
-  this->Enqueue(pending);
+  this->queue.Add(number, pending->request, kRequeueDelay);
   this->Dispatch();
-  this->RefuseIfHopeless(pending);
+  if (const auto retry_delay = this->queue.RemoveIfHopeless(number))
+    this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for,
+                 *retry_delay);
   return number;
 }
 
-void GroupDispatcher::RefuseIfHopeless(const RequestPointer& pending) {
-  if (!pending->is_queued)
-    return;
-  const TimePoint now = this->scheduler.Now();
-  const auto ahead = static_cast<size_t>(
-      std::distance(this->queue.begin(), this->queue.find(pending->key)));
-  const Duration wait = this->forecast.WaitBehind(ahead, now);
-  const Duration limit = pending->queued_until - now;
-  if (!OverloadForecast::is_hopeless(wait, limit))
-    return;
-  this->queue.erase(pending->key);
-  pending->is_queued = false;
-  this->scheduler.Cancel(pending->queue_timer);
-  this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for,
-               this->forecast.TakeReturnDelay(wait, limit, now));
+bool GroupDispatcher::is_queued(const PendingRequest& pending) const {
+  return this->queue.contains(pending.number);
 }
 
 void GroupDispatcher::Cancel(RequestNumber number) {
@@ -208,34 +186,16 @@
     return;
   const RequestPointer pending = found->second;
   pending->did_finish = [](DispatchOutcome) {};
-  if (!pending->is_queued)
+  if (!this->queue.Remove(number))
     return;
-  pending->is_queued = false;
-  this->queue.erase(pending->key);
-  this->scheduler.Cancel(pending->queue_timer);
+  // An earlier attempt that is still unanswered does not queue it again.
+  pending->is_finished = true;
   this->pending_by_number.erase(found);
 }
 
-void GroupDispatcher::Enqueue(const RequestPointer& pending) {
-  pending->is_queued = true;
-  this->queue.emplace(pending->key, pending);
-  const CallerRoute& route = pending->request.route;
-  const auto maximum_wait =
-      duration_cast<Duration>(route.target_latency * kMaximumWaitShareWhenBusy);
-  const TimePoint now = this->scheduler.Now();
-  pending->queued_until =
-      std::max(pending->request.received_at +
-                   std::min(maximum_wait, route.statement_timeout),
-               now + kRequeueDelay);
-  const Duration wait = pending->queued_until - now;
-  pending->queue_timer = this->scheduler.PostAfter(
-      wait,
-      this->life.Wrap([this, pending] { this->DidExpireInQueue(pending); }));
-}
-
 void GroupDispatcher::DidReachHedgeDelay(const RequestPointer& pending,
                                          const TargetName& target) {
-  if (pending->is_finished || pending->is_queued ||
+  if (pending->is_finished || this->is_queued(*pending) ||
       pending->attempt_count + 1 >= kMaximumAttempts)
     return;
   this->event_log.Write(EventLog::Kind::kRouted,
@@ -248,7 +208,7 @@
 }
 
 void GroupDispatcher::Requeue(const RequestPointer& pending) {
-  if (pending->is_finished || pending->is_queued)
+  if (pending->is_finished || this->is_queued(*pending))
     return;
   const TimePoint now = this->scheduler.Now();
   const bool must_stop = ++pending->attempt_count >= kMaximumAttempts ||
@@ -260,16 +220,13 @@
       this->Refuse(pending, StatementErrorCode::kBusy, "no target took it");
     return;
   }
-  this->Enqueue(pending);
+  this->queue.Add(pending->number, pending->request, kRequeueDelay);
   this->scheduler.PostAfter(kRequeueDelay,
                             this->life.Wrap([this] { this->Dispatch(); }));
 }
 
-void GroupDispatcher::DidExpireInQueue(const RequestPointer& pending) {
-  if (!pending->is_queued)
-    return;
-  this->queue.erase(pending->key);
-  pending->is_queued = false;
+void GroupDispatcher::DidExpireInQueue(RequestNumber number) {
+  const RequestPointer pending = this->pending_by_number.at(number);
   if (pending->attempts_in_flight == 0)
     this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for);
 }
@@ -283,13 +240,10 @@
   }
   do {
     this->needs_another_pass = false;
-    std::vector<RequestPointer> waiting;
-    waiting.reserve(this->queue.size());
-    for (const auto& [key, pending] : this->queue)
-      waiting.push_back(pending);
-    for (const RequestPointer& pending : waiting) {
-      if (!pending->is_queued)
+    for (const RequestNumber number : this->queue.InOrder()) {
+      if (!this->queue.contains(number))
         continue;
+      const RequestPointer pending = this->pending_by_number.at(number);
       if (this->TryStart(pending) != StartResult::kNoTarget)
         continue;
       const bool is_primary_unresponsive =
@@ -303,9 +257,7 @@
           !is_primary_unresponsive && this->scheduler.Now() < wait_until;
       if (may_still_wait || pending->attempts_in_flight > 0)
         continue;
-      this->queue.erase(pending->key);
-      pending->is_queued = false;
-      this->scheduler.Cancel(pending->queue_timer);
+      this->queue.Remove(number);
       this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for);
     }
   } while (this->needs_another_pass);
@@ -322,12 +274,7 @@
   if (!choice)
     return may_become_available ? StartResult::kMustWait
                                 : StartResult::kNoTarget;
-  this->queue.erase(pending->key);
-  pending->is_queued = false;
-  this->scheduler.Cancel(pending->queue_timer);
-  if (pending->attempt_count == 0)
-    this->forecast.DidStart(pending->request.received_at,
-                            this->scheduler.Now());
+  this->queue.Start(pending->number, pending->attempt_count == 0);
   this->Start(pending, std::move(*choice));
   return StartResult::kStarted;
 }
@@ -567,7 +514,7 @@
   }
   if (!answer) {
     this->ReleaseConnection(choice.target, connection);
-    if (pending->attempts_in_flight > 0 || pending->is_queued)
+    if (pending->attempts_in_flight > 0 || this->is_queued(*pending))
       return;
     if (request.is_write) {
       DispatchOutcome outcome;
@@ -688,10 +635,7 @@
     return;
   pending->is_finished = true;
   this->scheduler.Cancel(pending->hedge_timer);
-  if (std::exchange(pending->is_queued, false)) {
-    this->queue.erase(pending->key);
-    this->scheduler.Cancel(pending->queue_timer);
-  }
+  this->queue.Remove(pending->number);
   this->pending_by_number.erase(pending->number);
   const DispatchCallback did_finish = std::move(pending->did_finish);
   did_finish(std::move(outcome));
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -7,7 +7,6 @@
 #include <optional>
 #include <set>
 #include <span>
-#include <tuple>
 #include <vector>
 
 #include "LibCore/lifetime_guard.h"
@@ -17,8 +16,8 @@
 #include "LibDispatch/Forward.h"
 #include "LibDispatch/dispatch_request.h"
 #include "LibDispatch/in_flight_statements.h"
-#include "LibDispatch/overload_forecast.h"
 #include "LibDispatch/request_dispatcher.h"
+#include "LibDispatch/request_queue.h"
 #include "LibLink/target_channel.h"
 #include "LibPrimary/position_samples.h"
 #include "LibPrimary/primary_leases.h"
@@ -87,7 +86,7 @@
   const std::map<TargetName, std::shared_ptr<TargetView>>& targets() const {
     return this->target_by_name;
   }
-  size_t queue_length() const { return this->queue.size(); }
+  const RequestQueue& request_queue() const { return this->queue; }
   // Connections that targets rejected because of their connection limit.
   uint64_t connection_limit_refusals() const {
     return this->connection_limit_refusal_count;
@@ -133,10 +132,6 @@
  private:
   struct PendingRequest;
   using RequestPointer = std::shared_ptr<PendingRequest>;
-  // Priority, when the answer is due, number. Of the requests with the same
-  // priority the one with the least time left goes first, so that under
-  // overload those wait that can.
-  using QueueKey = std::tuple<int, TimePoint, RequestNumber>;
   enum class StartResult { kStarted, kMustWait, kNoTarget };
   struct TargetChoice {
     std::shared_ptr<TargetView> target;
@@ -170,10 +165,8 @@
   void DidReachHedgeDelay(const RequestPointer& pending,
                           const TargetName& target);
   void Requeue(const RequestPointer& pending);
-  void Enqueue(const RequestPointer& pending);
-  void DidExpireInQueue(const RequestPointer& pending);
-  // Refuses a request that was just queued if it cannot be started in time.
-  void RefuseIfHopeless(const RequestPointer& pending);
+  bool is_queued(const PendingRequest& pending) const;
+  void DidExpireInQueue(RequestNumber number);
   void Refuse(const RequestPointer& pending,
               StatementErrorCode code,
               const char* reason);
@@ -204,9 +197,8 @@
   std::map<TargetName, std::shared_ptr<TargetView>> target_by_name;
   // Removed targets that still have connections in use.
   std::vector<std::shared_ptr<TargetView>> retired_targets;
-  std::map<QueueKey, RequestPointer> queue;
-  OverloadForecast forecast;
   std::map<RequestNumber, RequestPointer> pending_by_number;
+  RequestQueue queue;
   std::set<OpenTransaction*> transactions;
   // Statements outside transactions that were sent to the primary.
   struct PrimaryStatement {
--- a/Libraries/LibDispatch/overload_forecast.h
+++ b/Libraries/LibDispatch/overload_forecast.h
@@ -30,9 +30,10 @@
   // callers get successive times, as far apart as requests are started.
   Duration TakeReturnDelay(Duration wait, Duration limit, TimePoint now);
 
- private:
+  // Whether a start is recent enough for a forecast.
   bool has_recent_start(TimePoint now) const;
 
+ private:
   // The average time between two starts while requests were waiting.
   Duration start_interval{};
   TimePoint last_start_at{};
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -984,11 +984,17 @@
     text += fmt::format(
         "kingcupmill_lease_held{{group=\"{0}\"}} {1}\n"
         "kingcupmill_queue{{group=\"{0}\"}} {2}\n"
+        "kingcupmill_queue_refused_total{{group=\"{0}\",reason=\"forecast\"}} "
+        "{5}\n"
+        "kingcupmill_queue_refused_total{{group=\"{0}\",reason=\"expired\"}} "
+        "{6}\n"
         "kingcupmill_connection_limit_refusals_total{{group=\"{0}\"}} {4}\n"
         "kingcupmill_primary_silence_seconds{{group=\"{0}\"}} {3:.3f}\n",
-        group.value, lease ? 1 : 0, dispatcher->queue_length(),
+        group.value, lease ? 1 : 0, dispatcher->request_queue().size(),
         std::chrono::duration<double>(dispatcher->PrimarySilence()).count(),
-        dispatcher->connection_limit_refusals());
+        dispatcher->connection_limit_refusals(),
+        dispatcher->request_queue().hopeless_count(),
+        dispatcher->request_queue().expired_count());
   }
   return text;
 }
