LibDispatch, LibRelay, LibGateway: Let a busy zone use others adaptively

With the fixed penalty of 6 ms, reads take the free connections of a slow target while the connections to the others are busy, and are late. A proxy that forwards leaves its zone only when no home there works. ZoneBalancer decides for one group at one proxy: in a calm zone as before, in a busy one it lets a read wait up to 12 ms for a target that is much cheaper, and bounds what leaves for targets of unknown latency, or for homes elsewhere, by a share that moves in small steps at random intervals. ZoneTrafficControl applies it in GroupDispatcher. `zone_traffic = "adaptive"` in the settings calls for it; the default keeps the choices of before, and so does a calm zone, which a test compares read by read.

--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -28,9 +28,6 @@
 // the staleness bound. This much of the bound is reserved for sending the read
 // to the target.
 constexpr Duration kStalenessMargin = std::chrono::milliseconds(40);
-// The cost of a round trip to another availability zone and of the traffic
-// between zones.
-constexpr Duration kOtherPlacePenalty = std::chrono::milliseconds(6);
 // Keeps reads that a replica may serve away from the primary, whose capacity is
 // needed for those that only it may serve.
 constexpr Duration kPrimaryReadPenalty = std::chrono::milliseconds(8);
@@ -78,7 +75,8 @@
                                  EventLog& event_log,
                                  GroupName group,
                                  PlaceName place,
-                                 Duration target_drain_limit)
+                                 Duration target_drain_limit,
+                                 ZoneTrafficOptions zone_traffic)
     : scheduler(scheduler),
       dialers(dialers),
       leases(leases),
@@ -87,7 +85,13 @@
       place(std::move(place)),
       target_drain_limit(target_drain_limit),
       queue(scheduler,
-            [this](RequestNumber number) { this->DidExpireInQueue(number); }) {}
+            [this](RequestNumber number) { this->DidExpireInQueue(number); }),
+      zone_traffic(scheduler,
+                   event_log,
+                   this->group,
+                   this->place,
+                   zone_traffic,
+                   [this] { this->Dispatch(); }) {}
 
 GroupDispatcher::~GroupDispatcher() {
   // Unanswered commands hold references to their connections, so close
@@ -365,10 +369,9 @@
   const auto lease = this->leases.LeasedPrimary(this->group, now);
   const auto required = this->RequiredPosition(pending);
   pending.waiting_for = required ? "a target" : kWaitsForPositionSample;
-  std::shared_ptr<TargetView> best;
-  Duration best_cost = Duration::max();
-  std::shared_ptr<TargetView> best_without_connection;
-  Duration best_cost_without_connection = Duration::max();
+  ReadTargets targets;
+  auto& [best, best_cost, best_without_connection, best_cost_without_connection,
+         best_at_home, best_cost_at_home] = targets;
   for (const auto& [name, view] : this->target_by_name) {
     const bool is_primary = lease && lease->primary == name;
     if (view->entry.state != TargetState::kReady)
@@ -383,9 +386,14 @@
     Duration cost = view->ExpectedLatency(now);
     if (is_primary)
       cost += kPrimaryReadPenalty;
-    if (view->entry.place != this->place)
-      cost += kOtherPlacePenalty;
+    const bool is_elsewhere = view->entry.place != this->place;
+    if (is_elsewhere)
+      cost += ZoneBalancer::kCrossingCost;
     if (view->pool->has_free()) {
+      if (!is_elsewhere && cost < best_cost_at_home) {
+        best_cost_at_home = cost;
+        best_at_home = view;
+      }
       if (cost < best_cost) {
         best_cost = cost;
         best = view;
@@ -397,6 +405,7 @@
   }
   if (best_without_connection && best_cost_without_connection < best_cost)
     this->AddConnections(*best_without_connection);
+  best = this->zone_traffic.Choose(targets, pending.request);
   if (!best)
     return std::nullopt;
   const bool is_primary = lease && lease->primary == best->entry.name;
@@ -457,6 +466,7 @@
     return this->Refuse(pending, StatementErrorCode::kBusy, "time");
   }
   ++pending->attempts_in_flight;
+  this->zone_traffic.DidSend(request, *choice.target);
   const bool is_repeatable = !request.is_write && !request.opens_transaction;
   if (is_repeatable) {
     const Duration hedge_delay = std::max<Duration>(
@@ -512,6 +522,7 @@
       this->DidReceiveFrom(*choice.target, *answer, sent_at);
     return this->ReleaseConnection(choice.target, connection);
   }
+  this->zone_traffic.DidEnd(request, *choice.target, answer);
   if (!answer) {
     this->ReleaseConnection(choice.target, connection);
     if (pending->attempts_in_flight > 0 || this->is_queued(*pending))
@@ -847,6 +858,7 @@
     connection->Close();
   this->Dispatch();
   this->PruneRetiredTargets();
+  this->zone_traffic.Tick();
   // Connections are opened before statements need them, to keep the cost of
   // opening out of their latency.
   for (const auto& [name, view] : this->target_by_name) {
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -18,6 +18,8 @@
 #include "LibDispatch/in_flight_statements.h"
 #include "LibDispatch/request_dispatcher.h"
 #include "LibDispatch/request_queue.h"
+#include "LibDispatch/zone_traffic.h"
+#include "LibDispatch/zone_traffic_control.h"
 #include "LibLink/target_channel.h"
 #include "LibPrimary/position_samples.h"
 #include "LibPrimary/primary_leases.h"
@@ -38,7 +40,8 @@
                   EventLog& event_log,
                   GroupName group,
                   PlaceName place,
-                  Duration target_drain_limit);
+                  Duration target_drain_limit,
+                  ZoneTrafficOptions zone_traffic = {});
   ~GroupDispatcher() override;
 
   // Sets the group's targets and how many connections to one target this proxy
@@ -87,6 +90,9 @@
     return this->target_by_name;
   }
   const RequestQueue& request_queue() const { return this->queue; }
+  const ZoneBalancer& zone_balancer() const {
+    return this->zone_traffic.balancer();
+  }
   // Connections that targets rejected because of their connection limit.
   uint64_t connection_limit_refusals() const {
     return this->connection_limit_refusal_count;
@@ -199,6 +205,7 @@
   std::vector<std::shared_ptr<TargetView>> retired_targets;
   std::map<RequestNumber, RequestPointer> pending_by_number;
   RequestQueue queue;
+  ZoneTrafficControl zone_traffic;
   std::set<OpenTransaction*> transactions;
   // Statements outside transactions that were sent to the primary.
   struct PrimaryStatement {
--- a/Libraries/LibDispatch/target_view.cc
+++ b/Libraries/LibDispatch/target_view.cc
@@ -49,10 +49,13 @@
   this->overloaded_until = now + kOverloadPause;
 }
 
+bool TargetView::has_recent_latency(TimePoint now) const {
+  return now - this->average_updated_at <= kAverageValidity;
+}
+
 Duration TargetView::ExpectedLatency(TimePoint now) const {
-  const Duration base = now - this->average_updated_at > kAverageValidity
-                            ? kDefaultLatency
-                            : this->average_latency;
+  const Duration base =
+      this->has_recent_latency(now) ? this->average_latency : kDefaultLatency;
   const int slots = std::max(this->entry.slots, 1);
   Duration expected = base + base * this->in_flight / slots;
   // Unanswered statements are a stronger sign of a slow target than the average
--- a/Libraries/LibDispatch/target_view.h
+++ b/Libraries/LibDispatch/target_view.h
@@ -26,6 +26,10 @@
   // Returns how long one more statement would take.
   Duration ExpectedLatency(TimePoint now) const;
 
+  // Whether the target has answered a statement so recently that
+  // ExpectedLatency() is measured and not assumed.
+  bool has_recent_latency(TimePoint now) const;
+
   // Whether the target is known not to have reached `point`.
   bool is_behind(LogPoint point, TimePoint now) const;
 
--- a/Libraries/LibEmulator/emulated_cluster.cc
+++ b/Libraries/LibEmulator/emulated_cluster.cc
@@ -112,7 +112,8 @@
       [this](const std::string& address) -> EmulatedNode* {
         const auto node = this->node_by_address.find(address);
         return node == this->node_by_address.end() ? nullptr : node->second;
-      }};
+      },
+      this->options.zone_traffic};
 }
 
 void EmulatedCluster::AddNodes(size_t count) {
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -40,6 +40,8 @@
     // Whether callers use only proxies that the balancer has in rotation;
     // otherwise they use any proxy.
     bool has_balancer = false;
+    // How proxies decide which statements leave their place.
+    ZoneTraffic zone_traffic = ZoneTraffic::kFixedPenalty;
   };
 
   explicit EmulatedCluster(Options options);
--- a/Libraries/LibEmulator/emulated_cluster_test.cc
+++ b/Libraries/LibEmulator/emulated_cluster_test.cc
@@ -489,6 +489,38 @@
   }
 }
 
+TEST_CASE("emulated cluster with an adaptive use of other places") {
+  // Guards against reads that wait for a connection which never becomes free,
+  // and against stale reads from other places.
+  EmulatedCluster::Options options = OptionsFor(17);
+  options.nodes = 20;
+  options.callers = 30;
+  options.zone_traffic = ZoneTraffic::kAdaptive;
+  EmulatedCluster cluster(options);
+  cluster.Start();
+
+  SUBCASE("serves every statement without faults") {
+    cluster.RunFor(std::chrono::seconds(10));
+    const auto counts = cluster.TotalCounts();
+    CHECK(counts.sent > 1000);
+    CHECK(counts.refused * 50 < counts.sent);
+    CHECK(FirstViolation(cluster) == "");
+  }
+
+  SUBCASE("serves on after a place was cut off and a target was lost") {
+    cluster.RunFor(std::chrono::seconds(2));
+    cluster.PartitionPlace(1, std::chrono::seconds(6));
+    cluster.RunFor(std::chrono::seconds(10));
+    cluster.CrashTarget(cluster.group(0).leader().name(),
+                        std::chrono::seconds(4));
+    cluster.RunFor(std::chrono::seconds(8));
+    const auto before = cluster.TotalCounts().writes_succeeded;
+    cluster.RunFor(std::chrono::seconds(3));
+    CHECK(cluster.TotalCounts().writes_succeeded > before + 20);
+    CHECK(FirstViolation(cluster) == "");
+  }
+}
+
 TEST_CASE(
     "emulated cluster with more proxies than a target accepts connections") {
   EmulatedCluster::Options options = OptionsFor(11);
--- a/Libraries/LibEmulator/emulated_node.cc
+++ b/Libraries/LibEmulator/emulated_node.cc
@@ -284,6 +284,7 @@
     options.peer_address = node.node_address;
     options.incarnation = node.node_address + "#" + std::to_string(node.starts);
     options.random_seed = seed;
+    options.zone_traffic = node.dependencies.zone_traffic;
     return options;
   }
 
--- a/Libraries/LibEmulator/emulated_node.h
+++ b/Libraries/LibEmulator/emulated_node.h
@@ -57,6 +57,7 @@
     const DirectoryCodec& codec;
     std::map<GroupName, std::unique_ptr<EmulatedGroup>>& groups;
     FindNode find_node;
+    ZoneTraffic zone_traffic = ZoneTraffic::kFixedPenalty;
   };
 
   EmulatedNode(Dependencies dependencies, std::string address, PlaceName place);
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -543,7 +543,8 @@
                 return homes;
               },
               [this] { return this->isolation.is_isolated(); },
-              this->options.incarnation + "." + group.value});
+              this->options.incarnation + "." + group.value,
+              this->options.zone_traffic});
     if (!this->home_groups.contains(group))
       continue;
     auto& dispatcher = this->dispatchers[group];
@@ -552,7 +553,9 @@
           this->dependencies.scheduler,
           TargetDialers{this->dependencies.dialer, this->relay_dialer},
           this->leases, this->event_log, group, this->options.place,
-          this->options.target_drain_limit);
+          this->options.target_drain_limit,
+          ZoneTrafficOptions{this->options.zone_traffic,
+                             this->options.random_seed});
     std::vector<TargetEntry> entries = this->TargetsOf(group);
     std::vector<TargetEntry> unlisted = this->UnlistedTargetsOf(group);
     entries.insert(entries.end(), unlisted.begin(), unlisted.end());
@@ -988,13 +991,17 @@
         "{5}\n"
         "kingcupmill_queue_refused_total{{group=\"{0}\",reason=\"expired\"}} "
         "{6}\n"
+        "kingcupmill_remote_share{{group=\"{0}\"}} {7:.3f}\n"
+        "kingcupmill_remote_reads_total{{group=\"{0}\"}} {8}\n"
         "kingcupmill_connection_limit_refusals_total{{group=\"{0}\"}} {4}\n"
         "kingcupmill_primary_silence_seconds{{group=\"{0}\"}} {3:.3f}\n",
         group.value, lease ? 1 : 0, dispatcher->request_queue().size(),
         std::chrono::duration<double>(dispatcher->PrimarySilence()).count(),
         dispatcher->connection_limit_refusals(),
         dispatcher->request_queue().hopeless_count(),
-        dispatcher->request_queue().expired_count());
+        dispatcher->request_queue().expired_count(),
+        dispatcher->zone_balancer().actual_share(),
+        dispatcher->zone_balancer().departures());
   }
   return text;
 }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -24,6 +24,7 @@
 #include "LibDirectory/directory_codec.h"
 #include "LibDirectory/target_directory.h"
 #include "LibDispatch/event_log.h"
+#include "LibDispatch/zone_traffic.h"
 #include "LibGateway/drain_plan.h"
 #include "LibGateway/gateway_metrics.h"
 #include "LibGateway/gateway_session.h"
@@ -66,6 +67,8 @@
     Duration drain_limit = std::chrono::seconds(6);
     // How long a leaving target may be sent new requests.
     Duration target_drain_limit = std::chrono::seconds(7);
+    // How it is decided which statements leave this proxy's place.
+    ZoneTraffic zone_traffic = ZoneTraffic::kFixedPenalty;
   };
 
   struct Dependencies {
--- a/Libraries/LibRelay/forwarding_dispatcher.cc
+++ b/Libraries/LibRelay/forwarding_dispatcher.cc
@@ -139,7 +139,8 @@
 };
 
 ForwardingDispatcher::ForwardingDispatcher(Context context)
-    : context(std::move(context)) {}
+    : context(std::move(context)),
+      balancer(std::hash<std::string>()(this->context.query_name_prefix)) {}
 
 ForwardingDispatcher::~ForwardingDispatcher() = default;
 
@@ -173,12 +174,11 @@
   if (pending->is_finished)
     return;
   const TimePoint now = this->context.scheduler.Now();
-  const std::vector<Home> homes = this->context.homes();
   std::optional<std::string> address;
   const bool are_homes_unreachable =
       this->context.is_isolated() && !this->has_home_in_own_place();
   if (pending->attempts < kMaximumAttempts && !are_homes_unreachable)
-    address = this->context.chooser.Choose(homes, pending->tried_homes, now);
+    address = this->ChooseHome(*pending);
   if (address)
     return this->ForwardTo(pending, *address);
   if (pending->in_flight > 0)
@@ -197,6 +197,58 @@
       this->life.Wrap([this, pending] { this->ForwardToAnyHome(pending); }));
 }
 
+std::optional<std::string> ForwardingDispatcher::ChooseHome(
+    const PendingRequest& pending) {
+  const TimePoint now = this->context.scheduler.Now();
+  const std::vector<Home> homes = this->context.homes();
+  // Every statement of a transaction would go the long way.
+  const bool may_leave = this->context.zone_traffic == ZoneTraffic::kAdaptive &&
+                         pending.attempts == 0 &&
+                         !pending.request.opens_transaction &&
+                         !this->context.is_isolated();
+  if (may_leave && this->balancer.TakeForwardElsewhere(now)) {
+    std::vector<Home> elsewhere = homes;
+    std::erase_if(elsewhere, [this](const Home& home) {
+      return home.place == this->context.place;
+    });
+    auto address =
+        this->context.chooser.Choose(elsewhere, pending.tried_homes, now);
+    if (address)
+      return address;
+  }
+  return this->context.chooser.Choose(homes, pending.tried_homes, now);
+}
+
+bool ForwardingDispatcher::is_elsewhere(const std::string& address) const {
+  const std::vector<Home> homes = this->context.homes();
+  return std::any_of(homes.begin(), homes.end(), [&](const Home& home) {
+    return home.address == address && home.place != this->context.place;
+  });
+}
+
+void ForwardingDispatcher::DidServe(const DispatchRequest& request,
+                                    const std::string& address,
+                                    const ForwardAnswer* answer) {
+  if (this->context.zone_traffic != ZoneTraffic::kAdaptive ||
+      request.opens_transaction)
+    return;
+  const TimePoint now = this->context.scheduler.Now();
+  const bool is_elsewhere = this->is_elsewhere(address);
+  const bool is_refused =
+      answer && answer->is_accepted && answer->answer.error &&
+      answer->answer.error->code == StatementErrorCode::kBusy;
+  if (is_elsewhere && (!answer || !answer->is_accepted || is_refused))
+    return this->balancer.DidFailElsewhere();
+  if (!answer || !answer->is_accepted)
+    return;
+  // A refused statement would have waited for longer than it could.
+  const Duration elapsed = now - request.received_at;
+  this->balancer.DidAnswer(
+      is_elsewhere,
+      is_refused ? std::max(elapsed, request.route.target_latency) : elapsed,
+      now);
+}
+
 void ForwardingDispatcher::ForwardTo(const PendingRequestPointer& pending,
                                      const std::string& address) {
   const TimePoint now = this->context.scheduler.Now();
@@ -237,6 +289,8 @@
           this->DidReachHedgeDelay(pending);
         }));
   this->context.chooser.DidSend(address, now);
+  if (this->context.zone_traffic == ZoneTraffic::kAdaptive)
+    this->balancer.DidSend(this->is_elsewhere(address));
   this->context.peers.Ask(
       address, query, left + kAnswerMargin,
       this->life.Wrap([this, pending, address, name = query.name](
@@ -288,6 +342,7 @@
   --pending->in_flight;
   const auto* forwarded =
       answer ? std::get_if<ForwardAnswer>(&*answer) : nullptr;
+  this->DidServe(pending->request, address, forwarded);
   if (!forwarded) {
     this->context.chooser.DidFail(address, now);
     const bool may_have_run =
--- a/Libraries/LibRelay/forwarding_dispatcher.h
+++ b/Libraries/LibRelay/forwarding_dispatcher.h
@@ -12,6 +12,8 @@
 #include "LibCore/lifetime_guard.h"
 #include "LibCore/scheduler.h"
 #include "LibDispatch/request_dispatcher.h"
+#include "LibDispatch/zone_balancer.h"
+#include "LibDispatch/zone_traffic.h"
 #include "LibPeer/peer_links.h"
 #include "LibRelay/home_chooser.h"
 
@@ -43,6 +45,7 @@
     std::function<bool()> is_isolated;
     // Makes the names of queries unique among all proxies.
     std::string query_name_prefix;
+    ZoneTraffic zone_traffic = ZoneTraffic::kFixedPenalty;
   };
 
   explicit ForwardingDispatcher(Context context);
@@ -62,6 +65,8 @@
   // Returns whether the group has a home in this proxy's place.
   bool has_home_in_own_place() const;
 
+  const ZoneBalancer& zone_balancer() const { return this->balancer; }
+
   // Returns the number of statements that have not finished.
   size_t open_count() const { return this->pending_by_number.size(); }
 
@@ -71,6 +76,13 @@
   using PendingRequestPointer = std::shared_ptr<PendingRequest>;
 
   void ForwardToAnyHome(const PendingRequestPointer& pending);
+  // Returns a home for a statement, or nothing.
+  std::optional<std::string> ChooseHome(const PendingRequest& pending);
+  bool is_elsewhere(const std::string& address) const;
+  // Records for the balance between zones how a home served a statement.
+  void DidServe(const DispatchRequest& request,
+                const std::string& address,
+                const ForwardAnswer* answer);
   void ForwardTo(const PendingRequestPointer& pending,
                  const std::string& address);
   void DidReceive(const PendingRequestPointer& pending,
@@ -93,6 +105,7 @@
   // The primary's silence as last reported by a home of this place, and when.
   Duration reported_silence{};
   TimePoint reported_at{};
+  ZoneBalancer balancer;
   RequestNumber next_number = 1;
   uint64_t next_query = 1;
   LifetimeGuard life;
--- a/Libraries/LibRelay/forwarding_dispatcher_test.cc
+++ b/Libraries/LibRelay/forwarding_dispatcher_test.cc
@@ -41,6 +41,10 @@
 }
 
 struct Fixture {
+  explicit Fixture(ZoneTraffic zone_traffic = ZoneTraffic::kFixedPenalty)
+      : zone_traffic(zone_traffic) {}
+
+  ZoneTraffic zone_traffic;
   VirtualScheduler scheduler;
   ScriptedPeerLinks peers;
   EventLog event_log{scheduler};
@@ -50,7 +54,7 @@
   ForwardingDispatcher dispatcher{ForwardingDispatcher::Context{
       scheduler, peers, event_log, chooser, GroupName{"orders"},
       PlaceName{"accra-a"}, [this] { return this->homes; },
-      [this] { return this->is_isolated; }, "proxy"}};
+      [this] { return this->is_isolated; }, "proxy", zone_traffic}};
   bool is_isolated = false;
   std::optional<DispatchOutcome> outcome;
 
@@ -302,4 +306,44 @@
       fixture.peers.pending_queries.front().query));
 }
 
+TEST_CASE("a proxy whose homes in its own place become slow") {
+  // Forwards 400 reads, a third of them after the homes became slow, and
+  // returns how many went to the other place.
+  const auto forward = [](Fixture& fixture, RequestKind kind) {
+    int left = 0;
+    for (int statement = 0; statement < 400; ++statement) {
+      fixture.Submit(kind);
+      const bool leaves = fixture.peers.pending_queries.front().address == "b";
+      const bool is_slow = statement > 250 && !leaves;
+      left += leaves ? 1 : 0;
+      fixture.scheduler.RunFor(milliseconds(is_slow ? 90 : 10));
+      fixture.peers.Answer(AcceptedAnswer());
+      fixture.scheduler.RunFor(milliseconds(10));
+    }
+    return left;
+  };
+
+  SUBCASE("keeps its statements there with a fixed penalty") {
+    Fixture fixture;
+    CHECK(forward(fixture, RequestKind::kRead) == 0);
+  }
+
+  SUBCASE("lets a share of them leave with an adaptive one") {
+    Fixture fixture(ZoneTraffic::kAdaptive);
+    const int left = forward(fixture, RequestKind::kRead);
+    CHECK(left >= 10);
+    CHECK(left <= 140);
+
+    SUBCASE("but not once it is isolated") {
+      fixture.is_isolated = true;
+      CHECK(forward(fixture, RequestKind::kRead) == 0);
+    }
+  }
+
+  SUBCASE("keeps its transactions there") {
+    Fixture fixture(ZoneTraffic::kAdaptive);
+    CHECK(forward(fixture, RequestKind::kBegin) == 0);
+  }
+}
+
 }  // namespace kingcupmill
