--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -17,10 +17,6 @@
 // The fraction of its latency target that a statement waits while no target can
 // run it. A longer wait only delays the caller's retry at another proxy.
 constexpr double kMaximumWaitShareWithoutTarget = 0.25;
-// The fraction of its latency target that a statement waits while targets are
-// busy. A statement that starts later is answered too late, and uses capacity
-// that others need to be answered in time.
-constexpr double kMaximumWaitShareWhenBusy = 0.65;
 // A probe takes one round trip; the rest allows for a slow VM.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
 // A probe sent on a connection with a running statement waits for that
@@ -29,9 +25,6 @@
 // A primary that has not answered for this long is probed, and again at this
 // interval.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
-// The cost of a round trip to another availability zone and of the traffic
-// between zones.
-constexpr Duration kOtherPlacePenalty = std::chrono::milliseconds(6);
 // Keeps reads that a replica may serve away from the primary, whose capacity is
 // needed for those that only it may serve.
 constexpr Duration kPrimaryReadPenalty = std::chrono::milliseconds(8);
@@ -63,17 +56,12 @@
   RequestNumber number = 0;
   DispatchRequest request;
   DispatchCallback did_finish;
-  QueueKey key;
-  bool is_queued = false;
-  // When it is refused unless it was started before.
-  TimePoint queued_until{};
   bool is_finished = false;
   // Attempts that were sent and have not ended.
   int attempts_in_flight = 0;
   int attempt_count = 0;
   // Targets that could not serve the request.
   std::set<TargetName> excluded_targets;
-  Scheduler::TimerId queue_timer = 0;
   Scheduler::TimerId hedge_timer = 0;
   const char* waiting_for = "a target";
 };
@@ -84,14 +72,23 @@
                                  EventLog& event_log,
                                  GroupName group,
                                  PlaceName place,
-                                 Duration target_drain_limit)
+                                 Duration target_drain_limit,
+                                 ZoneTrafficOptions zone_traffic)
     : scheduler(scheduler),
       dialers(dialers),
       leases(leases),
       event_log(event_log),
       group(std::move(group)),
       place(std::move(place)),
-      target_drain_limit(target_drain_limit) {}
+      target_drain_limit(target_drain_limit),
+      queue(scheduler,
+            [this](RequestNumber number) { this->DidExpireInQueue(number); }),
+      zone_traffic(scheduler,
+                   event_log,
+                   this->group,
+                   this->place,
+                   zone_traffic,
+                   [this] { this->Dispatch(); }) {}
 
 GroupDispatcher::~GroupDispatcher() {
   // Unanswered commands hold references to their connections, so close
@@ -184,33 +181,18 @@
   pending->number = this->next_number++;
   pending->request = std::move(request);
   pending->did_finish = std::move(did_finish);
-  pending->key = QueueKey(
-      pending->request.route.priority,
-      pending->request.received_at + pending->request.route.target_latency,
-      pending->number);
   this->pending_by_number.emplace(pending->number, pending);
   const RequestNumber number = pending->number;
-  this->Enqueue(pending);
+  this->queue.Add(number, pending->request, kRequeueDelay);
   this->Dispatch();
-  this->RefuseIfHopeless(pending);
+  if (const auto retry_delay = this->queue.RemoveIfHopeless(number))
+    this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for,
+                 *retry_delay);
   return number;
 }
 
-void GroupDispatcher::RefuseIfHopeless(const RequestPointer& pending) {
-  if (!pending->is_queued)
-    return;
-  const TimePoint now = this->scheduler.Now();
-  const auto ahead = static_cast<size_t>(
-      std::distance(this->queue.begin(), this->queue.find(pending->key)));
-  const Duration wait = this->forecast.WaitBehind(ahead, now);
-  const Duration limit = pending->queued_until - now;
-  if (!OverloadForecast::is_hopeless(wait, limit))
-    return;
-  this->queue.erase(pending->key);
-  pending->is_queued = false;
-  this->scheduler.Cancel(pending->queue_timer);
-  this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for,
-               this->forecast.TakeReturnDelay(wait, limit, now));
+bool GroupDispatcher::is_queued(const PendingRequest& pending) const {
+  return this->queue.contains(pending.number);
 }
 
 void GroupDispatcher::Cancel(RequestNumber number) {
@@ -219,34 +201,16 @@
     return;
   const RequestPointer pending = found->second;
   pending->did_finish = [](DispatchOutcome) {};
-  if (!pending->is_queued)
+  if (!this->queue.Remove(number))
     return;
-  pending->is_queued = false;
-  this->queue.erase(pending->key);
-  this->scheduler.Cancel(pending->queue_timer);
+  // An earlier attempt that is still unanswered does not queue it again.
+  pending->is_finished = true;
   this->pending_by_number.erase(found);
 }
 
-void GroupDispatcher::Enqueue(const RequestPointer& pending) {
-  pending->is_queued = true;
-  this->queue.emplace(pending->key, pending);
-  const CallerRoute& route = pending->request.route;
-  const auto maximum_wait =
-      duration_cast<Duration>(route.target_latency * kMaximumWaitShareWhenBusy);
-  const TimePoint now = this->scheduler.Now();
-  pending->queued_until =
-      std::max(pending->request.received_at +
-                   std::min(maximum_wait, route.statement_timeout),
-               now + kRequeueDelay);
-  const Duration wait = pending->queued_until - now;
-  pending->queue_timer = this->scheduler.PostAfter(
-      wait,
-      this->life.Wrap([this, pending] { this->DidExpireInQueue(pending); }));
-}
-
 void GroupDispatcher::DidReachHedgeDelay(const RequestPointer& pending,
                                          const TargetName& target) {
-  if (pending->is_finished || pending->is_queued ||
+  if (pending->is_finished || this->is_queued(*pending) ||
       pending->attempt_count + 1 >= kMaximumAttempts)
     return;
   this->event_log.Write(EventLog::Kind::kRouted,
@@ -259,7 +223,7 @@
 }
 
 void GroupDispatcher::Requeue(const RequestPointer& pending) {
-  if (pending->is_finished || pending->is_queued)
+  if (pending->is_finished || this->is_queued(*pending))
     return;
   const TimePoint now = this->scheduler.Now();
   const bool must_stop = ++pending->attempt_count >= kMaximumAttempts ||
@@ -271,16 +235,13 @@
       this->Refuse(pending, StatementErrorCode::kBusy, "no target took it");
     return;
   }
-  this->Enqueue(pending);
+  this->queue.Add(pending->number, pending->request, kRequeueDelay);
   this->scheduler.PostAfter(kRequeueDelay,
                             this->life.Wrap([this] { this->Dispatch(); }));
 }
 
-void GroupDispatcher::DidExpireInQueue(const RequestPointer& pending) {
-  if (!pending->is_queued)
-    return;
-  this->queue.erase(pending->key);
-  pending->is_queued = false;
+void GroupDispatcher::DidExpireInQueue(RequestNumber number) {
+  const RequestPointer pending = this->pending_by_number.at(number);
   if (pending->attempts_in_flight == 0)
     this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for);
 }
@@ -294,16 +255,15 @@
   }
   do {
     this->needs_another_pass = false;
-    std::vector<RequestPointer> waiting;
-    waiting.reserve(this->queue.size());
+    const std::vector<RequestNumber> waiting = this->queue.InOrder();
     this->connection_provider.BeginPass();
-    for (const auto& [key, pending] : this->queue) {
-      waiting.push_back(pending);
-      this->connection_provider.AddWaiting(pending->request.customer);
-    }
-    for (const RequestPointer& pending : waiting) {
-      if (!pending->is_queued)
+    for (const RequestNumber number : waiting)
+      this->connection_provider.AddWaiting(
+          this->pending_by_number.at(number)->request.customer);
+    for (const RequestNumber number : waiting) {
+      if (!this->queue.contains(number))
         continue;
+      const RequestPointer pending = this->pending_by_number.at(number);
       if (this->TryStart(pending) != StartResult::kNoTarget)
         continue;
       const bool is_primary_unresponsive =
@@ -317,9 +277,7 @@
           !is_primary_unresponsive && this->scheduler.Now() < wait_until;
       if (may_still_wait || pending->attempts_in_flight > 0)
         continue;
-      this->queue.erase(pending->key);
-      pending->is_queued = false;
-      this->scheduler.Cancel(pending->queue_timer);
+      this->queue.Remove(number);
       this->Refuse(pending, StatementErrorCode::kBusy, pending->waiting_for);
     }
   } while (this->needs_another_pass);
@@ -336,12 +294,7 @@
   if (!choice)
     return may_become_available ? StartResult::kMustWait
                                 : StartResult::kNoTarget;
-  this->queue.erase(pending->key);
-  pending->is_queued = false;
-  this->scheduler.Cancel(pending->queue_timer);
-  if (pending->attempt_count == 0)
-    this->forecast.DidStart(pending->request.received_at,
-                            this->scheduler.Now());
+  this->queue.Start(pending->number, pending->attempt_count == 0);
   this->Start(pending, std::move(*choice));
   return StartResult::kStarted;
 }
@@ -378,7 +331,8 @@
   if (!view.pool->has_free(customer)) {
     const ConnectionProvider::Candidate candidate{&view, Duration(0)};
     this->connection_provider.Provide(customer, {&candidate, 1},
-                                      this->queue.size(), pending.queued_until);
+                                      this->queue.size(),
+                                      this->queue.QueuedUntil(pending.number));
     return std::nullopt;
   }
   return TargetChoice{found->second, std::nullopt, lease};
@@ -406,10 +360,11 @@
   const auto required = RequiredPosition(
       pending.request, this->leases.Find(this->group), this->samples, now);
   pending.waiting_for = required ? "a target" : kWaitsForPositionSample;
-  std::shared_ptr<TargetView> best;
-  Duration best_cost = Duration::max();
   const CustomerName& customer = pending.request.customer;
   std::vector<ConnectionProvider::Candidate> without_connection;
+  ReadTargets targets;
+  auto& [best, best_cost, best_without_connection, best_cost_without_connection,
+         best_at_home, best_cost_at_home] = targets;
   for (const auto& [name, view] : this->target_by_name) {
     const bool is_primary = lease && lease->primary == name;
     if (view->entry.state != TargetState::kReady)
@@ -424,22 +379,34 @@
     Duration cost = view->ExpectedLatency(now);
     if (is_primary)
       cost += kPrimaryReadPenalty;
-    if (view->entry.place != this->place)
-      cost += kOtherPlacePenalty;
-    if (!view->pool->has_free(customer)) {
-      without_connection.push_back(
-          {view.get(),
-           cost + this->connection_provider.CostOf(customer, *view)});
-    } else if (cost < best_cost) {
-      best_cost = cost;
-      best = view;
+    const bool is_elsewhere = view->entry.place != this->place;
+    if (is_elsewhere)
+      cost += ZoneBalancer::kCrossingCost;
+    if (view->pool->has_free(customer)) {
+      if (!is_elsewhere && cost < best_cost_at_home) {
+        best_cost_at_home = cost;
+        best_at_home = view;
+      }
+      if (cost < best_cost) {
+        best_cost = cost;
+        best = view;
+      }
+      continue;
+    }
+    cost += this->connection_provider.CostOf(customer, *view);
+    without_connection.push_back({view.get(), cost});
+    if (cost < best_cost_without_connection) {
+      best_cost_without_connection = cost;
+      best_without_connection = view;
     }
   }
   std::erase_if(without_connection, [&](const auto& candidate) {
     return candidate.cost >= best_cost;
   });
   this->connection_provider.Provide(customer, without_connection,
-                                    this->queue.size(), pending.queued_until);
+                                    this->queue.size(),
+                                    this->queue.QueuedUntil(pending.number));
+  best = this->zone_traffic.Choose(targets, pending.request);
   if (!best)
     return std::nullopt;
   const bool is_primary = lease && lease->primary == best->entry.name;
@@ -500,6 +467,7 @@
     return this->Refuse(pending, StatementErrorCode::kBusy, "time");
   }
   ++pending->attempts_in_flight;
+  this->zone_traffic.DidSend(request, *choice.target);
   const bool is_repeatable = !request.is_write && !request.opens_transaction;
   if (is_repeatable) {
     const Duration hedge_delay = std::max<Duration>(
@@ -555,9 +523,10 @@
       this->DidReceiveFrom(*choice.target, *answer, sent_at);
     return this->ReleaseConnection(choice.target, connection);
   }
+  this->zone_traffic.DidEnd(request, *choice.target, answer);
   if (!answer) {
     this->ReleaseConnection(choice.target, connection);
-    if (pending->attempts_in_flight > 0 || pending->is_queued)
+    if (pending->attempts_in_flight > 0 || this->is_queued(*pending))
       return;
     if (request.is_write) {
       DispatchOutcome outcome;
@@ -678,10 +647,7 @@
     return;
   pending->is_finished = true;
   this->scheduler.Cancel(pending->hedge_timer);
-  if (std::exchange(pending->is_queued, false)) {
-    this->queue.erase(pending->key);
-    this->scheduler.Cancel(pending->queue_timer);
-  }
+  this->queue.Remove(pending->number);
   this->pending_by_number.erase(pending->number);
   const DispatchCallback did_finish = std::move(pending->did_finish);
   did_finish(std::move(outcome));
@@ -893,6 +859,7 @@
     connection->Close();
   this->Dispatch();
   this->PruneRetiredTargets();
+  this->zone_traffic.Tick();
   // Connections are opened before statements need them, to keep the cost of
   // opening out of their latency.
   for (const auto& [name, view] : this->target_by_name) {
--- a/Libraries/LibDispatch/group_dispatcher.h
+++ b/Libraries/LibDispatch/group_dispatcher.h
@@ -7,7 +7,6 @@
 #include <optional>
 #include <set>
 #include <span>
-#include <tuple>
 #include <vector>
 
 #include "LibCore/lifetime_guard.h"
@@ -18,8 +17,10 @@
 #include "LibDispatch/connection_provider.h"
 #include "LibDispatch/dispatch_request.h"
 #include "LibDispatch/in_flight_statements.h"
-#include "LibDispatch/overload_forecast.h"
 #include "LibDispatch/request_dispatcher.h"
+#include "LibDispatch/request_queue.h"
+#include "LibDispatch/zone_traffic.h"
+#include "LibDispatch/zone_traffic_control.h"
 #include "LibLink/target_channel.h"
 #include "LibPrimary/position_samples.h"
 #include "LibPrimary/primary_leases.h"
@@ -40,7 +41,8 @@
                   EventLog& event_log,
                   GroupName group,
                   PlaceName place,
-                  Duration target_drain_limit);
+                  Duration target_drain_limit,
+                  ZoneTrafficOptions zone_traffic = {});
   ~GroupDispatcher() override;
 
   // Sets the group's targets, how many connections to one target this proxy may
@@ -89,7 +91,10 @@
   const std::map<TargetName, std::shared_ptr<TargetView>>& targets() const {
     return this->target_by_name;
   }
-  size_t queue_length() const { return this->queue.size(); }
+  const RequestQueue& request_queue() const { return this->queue; }
+  const ZoneBalancer& zone_balancer() const {
+    return this->zone_traffic.balancer();
+  }
   // Connections that targets rejected because of their connection limit.
   uint64_t connection_limit_refusals() const {
     return this->connection_limit_refusal_count;
@@ -145,10 +150,6 @@
  private:
   struct PendingRequest;
   using RequestPointer = std::shared_ptr<PendingRequest>;
-  // Priority, when the answer is due, number. Of the requests with the same
-  // priority the one with the least time left goes first, so that under
-  // overload those wait that can.
-  using QueueKey = std::tuple<int, TimePoint, RequestNumber>;
   enum class StartResult { kStarted, kMustWait, kNoTarget };
   struct TargetChoice {
     std::shared_ptr<TargetView> target;
@@ -181,10 +182,8 @@
   void DidReachHedgeDelay(const RequestPointer& pending,
                           const TargetName& target);
   void Requeue(const RequestPointer& pending);
-  void Enqueue(const RequestPointer& pending);
-  void DidExpireInQueue(const RequestPointer& pending);
-  // Refuses a request that was just queued if it cannot be started in time.
-  void RefuseIfHopeless(const RequestPointer& pending);
+  bool is_queued(const PendingRequest& pending) const;
+  void DidExpireInQueue(RequestNumber number);
   void Refuse(const RequestPointer& pending,
               StatementErrorCode code,
               const char* reason);
@@ -214,10 +213,10 @@
   std::map<TargetName, std::shared_ptr<TargetView>> target_by_name;
   // Removed targets that still have connections in use.
   std::vector<std::shared_ptr<TargetView>> retired_targets;
-  std::map<QueueKey, RequestPointer> queue;
-  OverloadForecast forecast;
   ConnectionProvider connection_provider;
   std::map<RequestNumber, RequestPointer> pending_by_number;
+  RequestQueue queue;
+  ZoneTrafficControl zone_traffic;
   std::set<OpenTransaction*> transactions;
   // Statements outside transactions that were sent to the primary.
   struct PrimaryStatement {
--- a/Libraries/LibEmulator/emulated_cluster.h
+++ b/Libraries/LibEmulator/emulated_cluster.h
@@ -43,6 +43,8 @@
     // How many customers are declared. If there are any, each caller has the
     // key of one of them.
     size_t customers = 0;
+    // How proxies decide which statements leave their place.
+    ZoneTraffic zone_traffic = ZoneTraffic::kFixedPenalty;
   };
 
   explicit EmulatedCluster(Options options);
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "LibDispatch/open_transaction.h"
 #include "LibDispatch/target_view.h"
+#include "LibGateway/group_metrics.h"
 #include "LibGateway/refresh_timing.h"
 #include "LibGateway/store_readers.h"
 #include "LibStatement/error_names.h"
@@ -582,7 +583,8 @@
                 return homes;
               },
               [this] { return this->isolation.is_isolated(); },
-              this->options.incarnation + "." + group.value});
+              this->options.incarnation + "." + group.value,
+              this->options.zone_traffic});
     if (!this->home_groups.contains(group))
       continue;
     auto& dispatcher = this->dispatchers[group];
@@ -591,7 +593,9 @@
           this->dependencies.scheduler,
           TargetDialers{this->dependencies.dialer, this->relay_dialer},
           this->leases, this->event_log, group, this->options.place,
-          this->options.target_drain_limit);
+          this->options.target_drain_limit,
+          ZoneTrafficOptions{this->options.zone_traffic,
+                             this->options.random_seed});
     std::vector<TargetEntry> entries = this->TargetsOf(group);
     std::vector<TargetEntry> unlisted = this->UnlistedTargetsOf(group);
     entries.insert(entries.end(), unlisted.begin(), unlisted.end());
@@ -1026,20 +1030,9 @@
     text += fmt::format(
         "kingcupmill_table_age_seconds{{table=\"{}\"}} {:.3f}\n", table,
         std::chrono::duration<double>(now - cache->read_at()).count());
-  for (const auto& [group, dispatcher] : this->dispatchers) {
-    const auto lease = this->leases.LeasedPrimary(group, now);
-    text += fmt::format(
-        "kingcupmill_lease_held{{group=\"{0}\"}} {1}\n"
-        "kingcupmill_queue{{group=\"{0}\"}} {2}\n"
-        "kingcupmill_connection_limit_refusals_total{{group=\"{0}\"}} {4}\n"
-        "kingcupmill_connections_opened_total{{group=\"{0}\"}} {5}\n"
-        "kingcupmill_connections_reassigned_total{{group=\"{0}\"}} {6}\n"
-        "kingcupmill_primary_silence_seconds{{group=\"{0}\"}} {3:.3f}\n",
-        group.value, lease ? 1 : 0, dispatcher->queue_length(),
-        std::chrono::duration<double>(dispatcher->PrimarySilence()).count(),
-        dispatcher->connection_limit_refusals(),
-        dispatcher->connections_opened(), dispatcher->connections_reassigned());
-  }
+  for (const auto& [group, dispatcher] : this->dispatchers)
+    text += FormatGroupMetrics(
+        group, *dispatcher, this->leases.LeasedPrimary(group, now).has_value());
   return text;
 }
 
