LibGateway, LibWire, platform: Limit what clients may occupy

A proxy kept every byte that callers sent, answers that they did not read, and every connection until the system had no descriptors left.

LineConnection can pause reading, ends a closing connection after 3 s and logs what a peer causes at most once a second. Values and prepared statements of a session are limited to 64 KiB, because connections and requests copy them. A home refuses large forwarded statements above 4 MiB together.

--- a/Libraries/LibDispatch/event_log.cc
+++ b/Libraries/LibDispatch/event_log.cc
@@ -23,6 +23,11 @@
     {"state_change", 50, 200, spdlog::level::info},
 }};
 
+// Lines contain identifiers, names and messages that callers choose, of up to
+// 1 MiB. The start of a longer line has the event and the end has the figures.
+constexpr size_t kMaximumLineStart = 1'024;
+constexpr size_t kMaximumLineEnd = 256;
+
 }  // namespace
 
 EventLog::EventLog(Scheduler& scheduler) : scheduler(scheduler) {
@@ -57,7 +62,12 @@
     spdlog::log(level, "event=lines_dropped kind={} count={}", name,
                 std::exchange(bucket.dropped, 0));
   }
-  spdlog::log(level, "{}", line);
+  if (line.size() <= kMaximumLineStart + kMaximumLineEnd)
+    return spdlog::log(level, "{}", line);
+  spdlog::log(level, "{}[{} bytes left out]{}",
+              line.substr(0, kMaximumLineStart),
+              line.size() - kMaximumLineStart - kMaximumLineEnd,
+              line.substr(line.size() - kMaximumLineEnd));
 }
 
 }  // namespace kingcupmill
--- a/Libraries/LibGateway/gateway_session.cc
+++ b/Libraries/LibGateway/gateway_session.cc
@@ -66,7 +66,9 @@
   switch (statement.kind) {
     case StatementKind::kSet:
     case StatementKind::kPrepare:
-      if (this->session_context->is_full()) {
+      if (this->session_context->is_full(statement.name.size() +
+                                         statement.value.size() +
+                                         statement.shape.shape.size())) {
         this->AnswerError(StatementErrorCode::kMalformed,
                           "the session keeps too many values and statements");
         return true;
--- a/Libraries/LibRelay/forward_server.cc
+++ b/Libraries/LibRelay/forward_server.cc
@@ -13,6 +13,22 @@
 // The querying proxy rolls back a transaction at the configured idle limit. The
 // margin lets its RollbackQuery arrive before this proxy's own timer expires.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(400);
+// The limit on the bytes of forwarded statements that are not answered yet.
+// Each is held several times until its answer, and callers of all other proxies
+// may send large statements at the same time. Only statements above the second
+// size are refused for it, so ordinary ones are not affected by large ones.
+constexpr size_t kMaximumRunningBytes = size_t{4} << 20U;
+constexpr size_t kSmallStatementBytes = size_t{16} << 10U;
+
+size_t SizeOf(const ForwardQuery& query) {
+  const TargetCommand& command = query.command;
+  size_t bytes = query.statement_id.size() + command.text.size() +
+                 command.name.size() + command.value.size() +
+                 command.shape.shape.size();
+  for (const auto& [name, value] : query.values)
+    bytes += name.size() + value.size();
+  return bytes;
+}
 
 }  // namespace
 
@@ -39,8 +55,19 @@
 void ForwardServer::Handle(const ForwardQuery& query,
                            const PeerLinks::SendAnswer& send_answer) {
   RequestDispatcher* home = this->find_home(query.route.group);
+  const size_t bytes = SizeOf(query);
   if (!home || this->transaction_by_name.contains(query.name))
     return send_answer(ForwardAnswer{});
+  if (bytes > kSmallStatementBytes &&
+      this->running_bytes + bytes > kMaximumRunningBytes) {
+    ForwardAnswer refused;
+    refused.is_accepted = true;
+    refused.answer.error =
+        StatementError{StatementErrorCode::kBusy,
+                       "too many large statements; retry after 200 ms"};
+    refused.primary_silence = this->primary_silence(query.route.group);
+    return send_answer(refused);
+  }
   auto session_context = std::make_shared<SessionContext>();
   for (const auto& [name, value] : query.values)
     session_context->Set(name, value);
@@ -61,7 +88,8 @@
   request.received_at = this->scheduler.Now() - query.waited;
   const uint64_t number = this->next_number++;
   this->running_by_number.emplace(
-      number, RunningStatement{query.is_write, send_answer});
+      number, RunningStatement{query.is_write, send_answer, bytes});
+  this->running_bytes += bytes;
   home->Submit(
       std::move(request),
       this->life.Wrap([this, number, name = query.name,
@@ -78,6 +106,7 @@
   // FailOutstanding() has answered it.
   if (finished.empty())
     return;
+  this->running_bytes -= finished.mapped().bytes;
   ForwardAnswer forwarded;
   forwarded.is_accepted = true;
   forwarded.answer = std::move(outcome.answer);
@@ -165,6 +194,7 @@
 }
 
 void ForwardServer::FailOutstanding() {
+  this->running_bytes = 0;
   for (const auto& [number, statement] :
        std::exchange(this->running_by_number, {})) {
     ForwardAnswer failed;
--- a/Libraries/LibRelay/forward_server.h
+++ b/Libraries/LibRelay/forward_server.h
@@ -1,6 +1,7 @@
 #ifndef LIBRELAY_FORWARD_SERVER_H_
 #define LIBRELAY_FORWARD_SERVER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -66,6 +67,8 @@
   struct RunningStatement {
     bool is_write = false;
     PeerLinks::SendAnswer send_answer;
+    // The size of its query.
+    size_t bytes = 0;
   };
   using HeldTransactionPointer = std::shared_ptr<HeldTransaction>;
 
@@ -87,6 +90,7 @@
   std::map<std::string, HeldTransactionPointer> transaction_by_name;
   // Unanswered statements outside transactions and starts of transactions.
   std::map<uint64_t, RunningStatement> running_by_number;
+  size_t running_bytes = 0;
   uint64_t next_number = 1;
   LifetimeGuard life;
 };
--- a/Libraries/LibRelay/forward_server_test.cc
+++ b/Libraries/LibRelay/forward_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "LibCore/virtual_scheduler.h"
@@ -112,6 +113,36 @@
           milliseconds(700));
   }
 
+  SUBCASE("holds large statements up to a limit") {
+    query.command.text = std::string(size_t{1} << 20U, 'a');
+    query.statement_id = "1";
+    for (const char* name : {"sender.1", "sender.2", "sender.3"}) {
+      query.name = name;
+      server.Handle(query, send_answer);
+    }
+    CHECK(home.requests.size() == 3);
+    query.name = "sender.4";
+    server.Handle(query, send_answer);
+    CHECK(home.requests.size() == 3);
+    const auto& refused = std::get<ForwardAnswer>(*answer);
+    CHECK(refused.is_accepted);
+    CHECK(refused.answer.error->code == StatementErrorCode::kBusy);
+
+    SUBCASE("and accepts another one after an answer") {
+      home.did_finish(DispatchOutcome());
+      server.Handle(query, send_answer);
+      CHECK(home.requests.size() == 4);
+    }
+    SUBCASE("and small ones without a limit") {
+      query.command.text = std::string(16'000, 'a');
+      for (int count = 0; count < 100; ++count) {
+        query.name = "small." + std::to_string(count);
+        server.Handle(query, send_answer);
+      }
+      CHECK(home.requests.size() == 103);
+    }
+  }
+
   SUBCASE("holds a transaction") {
     ScriptedTransactionState state;
     query.opens_transaction = true;
--- a/Libraries/LibStatement/session_context.cc
+++ b/Libraries/LibStatement/session_context.cc
@@ -10,6 +10,9 @@
 // above what applications use, and prevents one caller from exhausting the
 // memory of a proxy.
 constexpr size_t kMaximumEntries = 512;
+// Of all names, values and statements of a session. Each connection to a target
+// and each request keep a copy, so one large value would be multiplied.
+constexpr size_t kMaximumBytes = size_t{64} << 10U;
 
 }  // namespace
 
@@ -32,9 +35,19 @@
   return found == this->shape_by_name.end() ? nullptr : &found->second;
 }
 
-bool SessionContext::is_full() const {
+bool SessionContext::is_full(size_t added_bytes) const {
   return this->value_by_name.size() + this->shape_by_name.size() >=
-         kMaximumEntries;
+             kMaximumEntries ||
+         this->size_bytes() + added_bytes > kMaximumBytes;
+}
+
+size_t SessionContext::size_bytes() const {
+  size_t bytes = 0;
+  for (const auto& [name, value] : this->value_by_name)
+    bytes += name.size() + value.size();
+  for (const auto& [name, shape] : this->shape_by_name)
+    bytes += name.size() + shape.shape.size();
+  return bytes;
 }
 
 }  // namespace kingcupmill
--- a/Libraries/LibStatement/session_context.h
+++ b/Libraries/LibStatement/session_context.h
@@ -1,6 +1,7 @@
 #ifndef LIBSTATEMENT_SESSION_CONTEXT_H_
 #define LIBSTATEMENT_SESSION_CONTEXT_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -26,10 +27,12 @@
   const Values& values() const { return this->value_by_name; }
 
   // Whether the session has reached the maximum number of values and prepared
-  // statements.
-  bool is_full() const;
+  // statements, or their maximum size with `added_bytes` more.
+  bool is_full(size_t added_bytes) const;
 
  private:
+  size_t size_bytes() const;
+
   Values value_by_name;
   Prepared shape_by_name;
 };
--- a/Libraries/LibWire/Forward.h
+++ b/Libraries/LibWire/Forward.h
@@ -9,6 +9,7 @@
 class LineConnection;
 class LineListener;
 class ProcessSignals;
+class StatusServer;
 class WebSocketClient;
 class WebSocketConnection;
 class WebSocketServer;
--- a/Libraries/LibWire/line_connection.cc
+++ b/Libraries/LibWire/line_connection.cc
@@ -3,12 +3,12 @@
 #include <spdlog/spdlog.h>
 
 #include <array>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
 
 #include "LibWire/event_loop.h"
@@ -35,6 +35,22 @@
 // The delay after a failed accept, such as when the process is out of file
 // descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
+// How long a connection that is being closed waits for its peer to read.
+constexpr std::chrono::seconds kCloseTimeout{3};
+
+// Limits log lines that a peer can cause at will to one a second.
+class LogInterval {
+ public:
+  bool has_passed() {
+    const int64_t now = std::chrono::duration_cast<std::chrono::seconds>(
+                            MonotonicNow().time_since_epoch())
+                            .count();
+    return this->logged_at.exchange(now) != now;
+  }
+
+ private:
+  std::atomic<int64_t> logged_at = -1;
+};
 
 void SetOptions(tcp::socket& socket) {
   error_code ignored;
@@ -48,16 +64,23 @@
 }  // namespace
 
 struct LineConnection::State {
-  explicit State(tcp::socket socket) : socket(std::move(socket)) {}
+  explicit State(tcp::socket socket)
+      : socket(std::move(socket)), close_timer(this->socket.get_executor()) {}
 
   tcp::socket socket;
+  boost::asio::steady_timer close_timer;
   LineHandlers handlers;
   std::array<char, kReadBytes> read_buffer{};
   std::string received;
   // The offset in `received` at which the search for a line end resumes.
   size_t search_offset = 0;
   std::string writing;
+  // How much of `writing` has been written.
+  size_t written = 0;
   std::string unsent;
+  bool is_paused = false;
+  // Whether neither a read nor a task to continue is pending.
+  bool has_stopped_reading = false;
   bool is_connected = false;
   bool is_closing = false;
   bool is_closed = false;
@@ -117,26 +140,76 @@
 
 void LineConnection::DidRead(size_t count) {
   this->state->received.append(this->state->read_buffer.data(), count);
-  if (!this->ProcessLines() || this->state->is_closed)
+  this->Continue();
+}
+
+void LineConnection::Continue() {
+  if (!this->ProcessLines())
+    return;
+  const auto did_move_bytes = this->state->handlers.did_move_bytes;
+  if (did_move_bytes)
+    did_move_bytes();
+  if (this->state->is_closed || this->state->is_closing)
+    return;
+  if (this->state->is_paused) {
+    this->state->has_stopped_reading = true;
     return;
+  }
   if (this->state->received.size() > kMaximumLineBytes) {
-    spdlog::warn("event=line_too_long bytes={}", this->state->received.size());
+    static LogInterval interval;
+    if (interval.has_passed())
+      spdlog::warn("event=line_too_long bytes={}",
+                   this->state->received.size());
     const auto did_overflow = this->state->handlers.did_overflow;
     return did_overflow ? did_overflow() : this->Fail();
   }
   this->Read();
 }
 
+void LineConnection::PauseReading() {
+  this->state->is_paused = true;
+}
+
+void LineConnection::ResumeReading() {
+  this->state->is_paused = false;
+  if (!std::exchange(this->state->has_stopped_reading, false))
+    return;
+  // Resuming is often a consequence of a line that is still being handled.
+  boost::asio::post(this->state->socket.get_executor(),
+                    [self = this->shared_from_this()] {
+                      if (!self->state->is_closed && !self->state->is_closing)
+                        self->Continue();
+                    });
+}
+
+bool LineConnection::is_reading_paused() const {
+  return this->state->is_paused;
+}
+
+size_t LineConnection::received_bytes() const {
+  return this->state->received.size();
+}
+
+size_t LineConnection::unsent_bytes() const {
+  return this->state->unsent.size() + this->state->writing.size() -
+         this->state->written;
+}
+
+size_t LineConnection::held_bytes() const {
+  return this->state->received.capacity() + this->state->unsent.capacity() +
+         this->state->writing.capacity();
+}
+
 bool LineConnection::ProcessLines() {
   std::string& received = this->state->received;
   size_t start = 0;
   size_t end = received.find("\r\n", this->state->search_offset);
-  while (end != std::string::npos) {
+  while (end != std::string::npos && !this->state->is_paused) {
     // The handler may close this connection, which destroys its handlers.
     const auto did_receive_line = this->state->handlers.did_receive_line;
     if (did_receive_line)
       did_receive_line(std::string_view(received).substr(start, end - start));
-    if (this->state->is_closed)
+    if (this->state->is_closed || this->state->is_closing)
       return false;
     start = end + 2;
     end = received.find("\r\n", start);
@@ -144,7 +217,9 @@
   received.erase(0, start);
   if (received.empty() && received.capacity() > 4 * kReadBytes)
     received.shrink_to_fit();
-  this->state->search_offset = received.empty() ? 0 : received.size() - 1;
+  // While reading is paused, complete lines may remain.
+  this->state->search_offset =
+      received.empty() || this->state->is_paused ? 0 : received.size() - 1;
   return true;
 }
 
@@ -153,8 +228,10 @@
     return;
   this->state->unsent.append(bytes);
   if (this->state->unsent.size() > kMaximumUnsentBytes) {
-    spdlog::warn("event=peer_does_not_read bytes={}",
-                 this->state->unsent.size());
+    static LogInterval interval;
+    if (interval.has_passed())
+      spdlog::warn("event=peer_does_not_read bytes={}",
+                   this->state->unsent.size());
     boost::asio::post(this->state->socket.get_executor(),
                       [self = this->shared_from_this()] { self->Fail(); });
     return;
@@ -171,29 +248,59 @@
     return;
   }
   std::swap(this->state->writing, this->state->unsent);
-  boost::asio::async_write(
-      this->state->socket, boost::asio::buffer(this->state->writing),
-      [self = this->shared_from_this()](const error_code& error, size_t) {
+  this->WriteSome();
+}
+
+void LineConnection::WriteSome() {
+  this->state->socket.async_write_some(
+      boost::asio::buffer(this->state->writing) + this->state->written,
+      [self = this->shared_from_this()](const error_code& error, size_t count) {
         if (self->state->is_closed)
           return;
-        self->state->writing.clear();
         if (error)
           return self->Fail();
-        self->Write();
+        self->DidWrite(count);
       });
 }
 
+void LineConnection::DidWrite(size_t count) {
+  this->state->written += count;
+  const bool is_complete = this->state->written == this->state->writing.size();
+  if (is_complete) {
+    this->state->written = 0;
+    this->state->writing.clear();
+    if (this->state->writing.capacity() > 4 * kReadBytes)
+      this->state->writing.shrink_to_fit();
+  }
+  const auto did_move_bytes = this->state->handlers.did_move_bytes;
+  if (did_move_bytes)
+    did_move_bytes();
+  if (this->state->is_closed)
+    return;
+  if (!is_complete)
+    return this->WriteSome();
+  this->Write();
+}
+
 void LineConnection::Close() {
   this->state->handlers = {};
   this->state->is_closing = true;
   if (!this->state->is_connected)
     return this->Abort();
+  this->state->close_timer.expires_after(kCloseTimeout);
+  this->state->close_timer.async_wait(
+      [weak = this->weak_from_this()](const error_code& error) {
+        const auto self = weak.lock();
+        if (self && !error && !self->state->is_closed)
+          self->Abort();
+      });
   this->Write();
 }
 
 void LineConnection::Abort() {
   this->state->handlers = {};
   this->state->is_closed = true;
+  this->state->close_timer.cancel();
   error_code ignored;
   this->state->socket.shutdown(tcp::socket::shutdown_both, ignored);
   this->state->socket.close(ignored);
@@ -213,6 +320,7 @@
   EventLoop& loop;
   tcp::acceptor acceptor;
   DidAccept did_accept;
+  DidFailToAccept did_fail_to_accept;
 };
 
 LineListener::LineListener(std::shared_ptr<State> state)
@@ -225,12 +333,14 @@
 Result<std::unique_ptr<LineListener>> LineListener::Create(
     EventLoop& loop,
     const std::string& address,
-    DidAccept did_accept) {
+    DidAccept did_accept,
+    DidFailToAccept did_fail_to_accept) {
   tcp::endpoint endpoint;
   if (!ParseEndpoint(address, endpoint))
     return Fail(ErrorCode::kInvalidInput, "not IP:port: " + address);
   auto state = std::make_shared<State>(loop);
   state->did_accept = std::move(did_accept);
+  state->did_fail_to_accept = std::move(did_fail_to_accept);
   error_code error;
   state->acceptor.open(endpoint.protocol(), error);
   if (!error)
@@ -254,7 +364,11 @@
             !state->acceptor.is_open())
           return;
         if (error) {
-          spdlog::warn("event=accept_failed error=\"{}\"", error.message());
+          static LogInterval interval;
+          if (interval.has_passed())
+            spdlog::warn("event=accept_failed error=\"{}\"", error.message());
+          if (state->did_fail_to_accept)
+            state->did_fail_to_accept();
           state->loop.PostAfter(kAcceptRetryDelay, [state] { Accept(state); });
           return;
         }
--- a/Libraries/LibWire/line_connection.h
+++ b/Libraries/LibWire/line_connection.h
@@ -24,6 +24,9 @@
   // A line is longer than kMaximumLineBytes. Nothing more is read, but data can
   // still be sent. Without this handler, the connection is closed.
   std::function<void()> did_overflow;
+  // Bytes were received or sent, so that what the connection holds has changed.
+  // Called after the lines that they complete.
+  std::function<void()> did_move_bytes;
   // The connection could not be opened, the peer closed it, it failed, or the
   // peer does not read what is sent. No handler is called afterwards.
   std::function<void()> did_close;
@@ -50,8 +53,21 @@
   // nothing after the connection was closed.
   void Send(std::string_view bytes);
 
-  // Closes the connection once all queued data is written. No handler is called
-  // afterwards.
+  // Stops passing lines to the handler and reading, until ResumeReading(). The
+  // peer is then held back by TCP's flow control.
+  void PauseReading();
+  void ResumeReading();
+  bool is_reading_paused() const;
+
+  // The bytes received after the last line that the handler was given.
+  size_t received_bytes() const;
+  // The bytes that the system has not taken for sending.
+  size_t unsent_bytes() const;
+  // The memory that the connection's buffers take.
+  size_t held_bytes() const;
+
+  // Closes the connection once all queued data is written, at the latest after
+  // some seconds. Nothing more is read and no handler is called afterwards.
   void Close();
 
   // Closes the connection immediately and drops queued data. No handler is
@@ -66,10 +82,14 @@
   void Start();
   void Read();
   void DidRead(size_t count);
+  // Passes on the received lines and reads again unless reading is paused.
+  void Continue();
   // Passes the received lines to the handler. Returns false if it closed the
   // connection.
   bool ProcessLines();
   void Write();
+  void WriteSome();
+  void DidWrite(size_t count);
   void Fail();
 
   std::unique_ptr<State> state;
@@ -79,12 +99,18 @@
 class LineListener {
  public:
   using DidAccept = std::function<void(std::shared_ptr<LineConnection>)>;
+  // Called when a connection could not be accepted, such as when the process is
+  // out of file descriptors. Another attempt follows.
+  using DidFailToAccept = std::function<void()>;
 
   // Starts to listen on `address` ("IP:port"). Fails with kInvalidInput if the
   // address cannot be parsed and with kUnavailable if it is taken. `did_accept`
   // sets the handlers of the new connection with SetHandlers().
-  static Result<std::unique_ptr<LineListener>>
-  Create(EventLoop& loop, const std::string& address, DidAccept did_accept);
+  static Result<std::unique_ptr<LineListener>> Create(
+      EventLoop& loop,
+      const std::string& address,
+      DidAccept did_accept,
+      DidFailToAccept did_fail_to_accept = nullptr);
   ~LineListener();
   LineListener(const LineListener&) = delete;
   LineListener& operator=(const LineListener&) = delete;
--- a/Libraries/LibWire/web_socket_client.cc
+++ b/Libraries/LibWire/web_socket_client.cc
@@ -37,7 +37,7 @@
     });
     return adapter;
   }
-  adapter->Attach(std::move(handlers));
+  adapter->Attach(std::move(handlers), kMaximumMessageBytes);
   this->state->endpoint.connect(native);
   return adapter;
 }
--- a/Libraries/LibWire/web_socket_detail.h
+++ b/Libraries/LibWire/web_socket_detail.h
@@ -16,8 +16,12 @@
 
 namespace kingcupmill {
 
-// The largest message that is accepted, in bytes.
+// The largest message that is accepted on an outgoing connection, in bytes.
 constexpr size_t kMaximumMessageBytes = 32U << 20U;
+// The largest message that is accepted from a peer that has connected. The
+// largest query has a statement of 1 MiB, once as text and once as its
+// arguments, and the values of a session.
+constexpr size_t kMaximumQueryBytes = (2U << 20U) + (256U << 10U);
 
 // Splits "IP:port"; returns false if the port is missing or not a number.
 inline bool SplitAddress(const std::string& address,
@@ -42,8 +46,9 @@
 
   explicit ConnectionAdapter(Native native) : native(std::move(native)) {}
 
-  // Forwards the events of the native connection to `handlers`.
-  void Attach(WebSocketHandlers handlers) {
+  // Forwards the events of the native connection to `handlers`. A longer
+  // message closes the connection when its header arrives.
+  void Attach(WebSocketHandlers handlers, size_t maximum_message_bytes) {
     this->handlers = std::move(handlers);
     auto self = this->shared_from_this();
     this->native->set_open_handler([self](auto) { self->DidOpen(); });
@@ -51,7 +56,7 @@
     this->native->set_close_handler([self](auto) { self->DidClose(); });
     this->native->set_message_handler(
         [self](auto, const auto& message) { self->DidReceive(message); });
-    this->native->set_max_message_size(kMaximumMessageBytes);
+    this->native->set_max_message_size(maximum_message_bytes);
     this->native->set_pong_timeout(0);
   }
 
