--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -10,6 +10,8 @@
 [ -z "$known_red" ] || sed 's/^/known red, not run: /' <<<"$known_red"
 build/kingcupmill-tests ${known_red:+--subcase-exclude="$(paste -sd, <<<"$known_red")"}
 Meta/guards.sh 2>/dev/null
+Meta/hostile_clients.sh >build/hostile_clients.log || { cat build/hostile_clients.log; exit 1; }
+tail -n 1 build/hostile_clients.log
 Meta/soak.sh 1 1 5 6
 RESTORES=2 Meta/soak.sh 101 1 5 9
 SYNC_REPLICAS=1 Meta/soak.sh 201 1 5 9
--- a/Utilities/kingcupmill_clients.cc
+++ b/Utilities/kingcupmill_clients.cc
@@ -396,7 +396,7 @@
       this->received.append(buffer, static_cast<size_t>(count));
       end = this->received.find("\r\n");
     }
-    const std::string line = this->received.substr(0, end);
+    std::string line = this->received.substr(0, end);
     this->received.erase(0, end + 2);
     return line;
   }
