--- a/Libraries/LibGateway/gateway_session.h
+++ b/Libraries/LibGateway/gateway_session.h
@@ -64,6 +64,8 @@
   // Whether no statement or transaction is open, so that closing the session
   // loses nothing.
   bool can_close() const;
+  // Returns the size of the values and prepared statements that are kept.
+  size_t kept_bytes() const { return this->session_context->size_bytes(); }
   bool is_in_transaction() const { return this->state != SessionState::kIdle; }
 
   // A new configuration is in force. If the session's key is no longer valid,
--- a/Libraries/LibStatement/session_context.cc
+++ b/Libraries/LibStatement/session_context.cc
@@ -10,9 +10,10 @@
 // above what applications use, and prevents one caller from exhausting the
 // memory of a proxy.
 constexpr size_t kMaximumEntries = 512;
-// Of all names, values and statements of a session. Each connection to a target
-// and each request keep a copy, so one large value would be multiplied.
-constexpr size_t kMaximumBytes = size_t{64} << 10U;
+// Of all names, values and statements of a session. A message may have 1 MiB,
+// so the largest legal value fits; what many sessions keep together is limited
+// by the owner of the callers.
+constexpr size_t kMaximumBytes = (size_t{1} << 20U) + (size_t{64} << 10U);
 
 }  // namespace
 
--- a/Libraries/LibStatement/session_context.h
+++ b/Libraries/LibStatement/session_context.h
@@ -30,9 +30,10 @@
   // statements, or their maximum size with `added_bytes` more.
   bool is_full(size_t added_bytes) const;
 
- private:
+  // Returns the size of all names, values and statements.
   size_t size_bytes() const;
 
+ private:
   Values value_by_name;
   Prepared shape_by_name;
 };
