--- a/Libraries/LibDirectory/customer_table.cc
+++ b/Libraries/LibDirectory/customer_table.cc
@@ -1,7 +1,6 @@
 #include "LibDirectory/customer_table.h"
 
 #include <set>
-#include <utility>
 
 namespace kingcupmill {
 
@@ -26,7 +25,7 @@
   }
   for (const std::string& key : keys)
     this->customer_by_key.emplace(key, name);
-  this->declaration_by_name.emplace(name, std::move(declaration));
+  this->declaration_by_name.emplace(name, declaration);
   return {};
 }
 
