--- a/Libraries/LibUsage/usage_service.cc
+++ b/Libraries/LibUsage/usage_service.cc
@@ -17,11 +17,11 @@
 // A link is dropped, with the statements forwarded over it, when a query on it
 // is not answered in time. The budget gives up a query earlier than that.
 constexpr Duration kLinkTimeout = std::chrono::milliseconds(1000);
-// Waits are short, so their deadlines are checked often while there are any.
 // How many members of its own place a proxy tries as the pool.
 constexpr size_t kPoolsInPlace = 2;
 // The tokens in a pool are dropped after this time without a deposit.
 constexpr Duration kPoolLifetime = std::chrono::milliseconds(1000);
+// Waits are short, so their deadlines are checked often while there are any.
 constexpr Duration kWaitingTickInterval = std::chrono::milliseconds(5);
 constexpr Duration kActiveTickInterval = std::chrono::milliseconds(25);
 // Refused callers are told to return after this at least and at most.
