--- a/Libraries/LibWire/line_connection_test.cc
+++ b/Libraries/LibWire/line_connection_test.cc
@@ -70,6 +70,8 @@
   const auto client = RunOn(loop, [&] {
     return LineConnection::Connect(loop, LocalAddress(), LineHandlers{});
   });
+  // The connection may be established before its end here has been accepted.
+  REQUIRE(WaitFor(loop, [&] { return server != nullptr; }));
   const auto send = [&](const std::string& bytes) {
     loop.Post([client, bytes] { client->Send(bytes); });
   };
