--- a/Libraries/LibDispatch/group_dispatcher.cc
+++ b/Libraries/LibDispatch/group_dispatcher.cc
@@ -400,8 +400,8 @@
       best_without_connection = view;
     }
   }
-  std::erase_if(without_connection, [&](const auto& candidate) {
-    return candidate.cost >= best_cost;
+  std::erase_if(without_connection, [&targets](const auto& candidate) {
+    return candidate.cost >= targets.best_cost;
   });
   this->connection_provider.Provide(customer, without_connection,
                                     this->queue.size(),
--- a/Libraries/LibGateway/gateway.cc
+++ b/Libraries/LibGateway/gateway.cc
@@ -697,7 +697,7 @@
   this->copies_requested_at = now;
   const std::string& other = others.at(this->random.Below(others.size()));
   const auto age_ms = [now](const TableCache& cache) {
-    return ToMilliseconds(now - cache.read_at());
+    return TableCopies::FormatAgeMs(cache, now);
   };
   this->event_log.Write(
       EventLog::Kind::kStateChange,
--- a/Libraries/LibGateway/table_copies.cc
+++ b/Libraries/LibGateway/table_copies.cc
@@ -1,5 +1,7 @@
 #include "LibGateway/table_copies.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -56,6 +58,12 @@
   }
 }
 
+std::string TableCopies::FormatAgeMs(const TableCache& table, TimePoint now) {
+  return table.version()
+             ? fmt::format("{}", ToMilliseconds(now - table.read_at()))
+             : "none";
+}
+
 void TableCopies::Apply(const StoreCopyAnswer& answer, TimePoint requested_at) {
   // The peer received the query after it was sent and held it; the ages in its
   // answer are as of the end of that. This makes the copies look older than
--- a/Libraries/LibGateway/table_copies.h
+++ b/Libraries/LibGateway/table_copies.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "LibCore/scheduler.h"
@@ -38,6 +39,10 @@
   // Answers a query with the rows that are newer than its versions.
   StoreCopyAnswer Make(const StoreCopyQuery& query);
 
+  // Returns the age of a table's copy in milliseconds, or "none" if the table
+  // has never been read.
+  static std::string FormatAgeMs(const TableCache& table, TimePoint now);
+
   // Applies the copies of another proxy to a query sent at `requested_at`.
   void Apply(const StoreCopyAnswer& answer, TimePoint requested_at);
 
