Review: Bring the stand-ins into the form that the linter asks for

The linter checks every tracked source file, also those of a review.

Reformatted the stand-ins and removed needless copies.

--- a/review/standins-2/other_writer.cc
+++ b/review/standins-2/other_writer.cc
@@ -64,16 +64,19 @@
     for (const auto& address : deployment.caller_addresses) {
       const std::string id = "q" + std::to_string(++number);
       const bool is_write = number % 4 == 0;
-      const std::string text =
-          (is_write ? "WRITE item" : "READ item") + std::to_string(number % 50) +
-          (is_write ? " data" : "");
+      std::string text = is_write ? "WRITE item" : "READ item";
+      text += std::to_string(number % 50);
+      if (is_write)
+        text += " data";
       const review::RequestOutcome outcome = review::SendRequest(
           address, is_write ? "orders" : "stock", id, text, seconds(3));
       const bool is_success = outcome.result.starts_with("COMPLETE r.");
       answered += is_success ? 1 : 0;
-      record.Write("request id=" + id + " text=\"" + text + "\" connected=" +
-                   (outcome.is_connected ? "yes" : "no") + " answer=\"" +
-                   outcome.result + "\"");
+      std::string line = "request id=" + id;
+      line += " text=\"" + text + "\"";
+      line += outcome.is_connected ? " connected=yes" : " connected=no";
+      line += " answer=\"" + outcome.result + "\"";
+      record.Write(line);
     }
     std::this_thread::sleep_for(kRequestInterval);
   }
--- a/review/standins-2/planned_stop.cc
+++ b/review/standins-2/planned_stop.cc
@@ -99,8 +99,8 @@
 
   // Returns whether the session can go on.
   bool Request(int descriptor) {
-    const std::string id =
-        "c" + std::to_string(this->number) + "." + std::to_string(++this->count);
+    const std::string id = "c" + std::to_string(this->number) + "." +
+                           std::to_string(++this->count);
     const std::string query = "QUERY " + id + " READ parcel\r\n";
     const auto sent = review::Clock::now();
     const double sent_at = this->record.Elapsed();
@@ -114,8 +114,8 @@
           std::chrono::duration<double>(review::Clock::now() - sent).count();
       if (count <= 0) {
         this->cuts.push_back({id, sent_at, elapsed, received});
-        this->record.Write("cut id=" + id + " after_s=" +
-                           std::to_string(elapsed) +
+        this->record.Write("cut id=" + id +
+                           " after_s=" + std::to_string(elapsed) +
                            " bytes=" + std::to_string(received));
         return false;
       }
@@ -162,9 +162,11 @@
   std::this_thread::sleep_for(seconds(10));
   std::atomic<bool> is_over = false;
   std::vector<Caller> callers;
+  callers.reserve(kCallers);
   for (int number = 0; number < kCallers; ++number)
     callers.emplace_back(record, deployment.caller_addresses.front(), number);
   std::vector<std::thread> threads;
+  threads.reserve(callers.size());
   for (Caller& caller : callers)
     threads.emplace_back([&] { caller.Run(is_over); });
   std::this_thread::sleep_for(kCalmTime);
--- a/review/standins-2/platform_standin.cc
+++ b/review/standins-2/platform_standin.cc
@@ -194,7 +194,8 @@
   socklen_t size = sizeof address;
   if (bind(listener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
       listen(listener, 256) != 0 ||
-      getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+      getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) !=
+          0) {
     close(listener);
     return -1;
   }
@@ -275,8 +276,8 @@
   json rows = json::array();
   size_t bytes = 0;
   bool has_more = false;
-  auto row = from == query.end() ? known.begin()
-                                 : known.lower_bound(from->second);
+  auto row =
+      from == query.end() ? known.begin() : known.lower_bound(from->second);
   for (; row != known.end(); ++row) {
     const std::string value = EncodeBase64(row->second.value);
     bytes += value.size() + row->first.size();
@@ -313,6 +314,7 @@
   };
   this->changed.wait_until(lock, end, find_changes);
   std::vector<std::pair<uint64_t, std::string>> in_order;
+  in_order.reserve(newest.size());
   for (const auto& [key, changed_in] : newest)
     in_order.emplace_back(changed_in, key);
   std::sort(in_order.begin(), in_order.end());
@@ -464,7 +466,7 @@
 std::string Database::Answer(Session& session,
                              const std::string& request,
                              std::string text) {
-  const std::string done = "COMPLETE -\r\n";
+  std::string done = "COMPLETE -\r\n";
   const std::string whole = text;
   std::string verb = TakeWord(text);
   if (verb == "AFTER") {
@@ -555,8 +557,7 @@
         dup2(output, 1);
         dup2(output, 2);
         const std::string boot = "KINGCUPMILL_BOOT=" + this->settings_path;
-        const std::string path =
-            std::string("PATH=") + std::getenv("PATH");
+        const std::string path = std::string("PATH=") + std::getenv("PATH");
         char program[] = "target/kingcupmill-edge";
         char* arguments[] = {program, nullptr};
         char* environment[] = {const_cast<char*>(boot.c_str()),
@@ -577,9 +578,8 @@
       ++this->own_end_count;
     this->record.Write(
         "end proxy=" + this->name +
-        (WIFSIGNALED(status)
-             ? " signal=" + std::to_string(WTERMSIG(status))
-             : " code=" + std::to_string(WEXITSTATUS(status))) +
+        (WIFSIGNALED(status) ? " signal=" + std::to_string(WTERMSIG(status))
+                             : " code=" + std::to_string(WEXITSTATUS(status))) +
         (this->was_signalled ? " sent_by_test=yes" : " sent_by_test=no"));
     std::this_thread::sleep_for(kRestartDelay);
   }
@@ -591,8 +591,8 @@
   if (this->pid <= 0)
     return;
   this->was_signalled = true;
-  this->record.Write("signal proxy=" + this->name + " signal=" +
-                     std::to_string(signal));
+  this->record.Write("signal proxy=" + this->name +
+                     " signal=" + std::to_string(signal));
   kill(this->pid, signal);
 }
 
@@ -619,13 +619,10 @@
   Serve(Listen("127.0.0.1", store_port),
         [this](Socket& socket) { this->store.ServeClient(socket); });
   const auto route = [this](const char* host, const char* kind, json more) {
-    json entry{{"name", host},
-               {"host", host},
-               {"service", this->service},
-               {"route_type", kind},
-               {"timeout_ms", 1200},
-               {"target_latency_ms", 300},
-               {"priority", 1}};
+    json entry{
+        {"name", host},       {"host", host},       {"service", this->service},
+        {"route_type", kind}, {"timeout_ms", 1200}, {"target_latency_ms", 300},
+        {"priority", 1}};
     entry.update(more);
     return entry;
   };
@@ -636,7 +633,9 @@
             {route("orders", "primary", json::object()),
              route("stock", "bounded_stale", {{"max_staleness_ms", 1500}})}},
            {"services",
-            {{{"name", this->service}, {"max_conns", 16}, {"sync_replicas", 0}}}},
+            {{{"name", this->service},
+              {"max_conns", 16},
+              {"sync_replicas", 0}}}},
            {"limits", {{"tx_idle_ms", 3000}}}}
           .dump());
   for (int index = 0; index < 3; ++index) {
@@ -664,8 +663,7 @@
     const std::string name = "edge-" + std::to_string(index);
     const std::string ip = "127.0.1." + std::to_string(index + 1);
     const std::string path = this->folder + "/" + name + ".toml";
-    const std::string store_address =
-        "127.0.0.1:" + std::to_string(store_port);
+    const std::string store_address = "127.0.0.1:" + std::to_string(store_port);
     std::ofstream(path)
         << "vm = \"" << name << "\"\nplace = \"zone-" << index << "\"\nip = \""
         << ip << "\"\ncaller_address = \"" << ip << ":" << base + 10
--- a/review/standins-2/platform_standin.h
+++ b/review/standins-2/platform_standin.h
@@ -125,9 +125,7 @@
     char state = 'I';
     bool did_write = false;
   };
-  std::string Answer(Session& session,
-                     const std::string& id,
-                     std::string text);
+  std::string Answer(Session& session, const std::string& id, std::string text);
 
   Record& record;
   Log& log;
