Review: Show proxies that outgrow their memory by prepared statements

A connection to a target remembers every shape that was prepared on it until a RESET or its end, also those that the callers have closed. Nothing bounds it.

--- a/review/standins-2/platform_standin.cc
+++ b/review/standins-2/platform_standin.cc
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -35,6 +36,8 @@
 constexpr milliseconds kStatementTime{3};
 constexpr milliseconds kRestartDelay{500};
 constexpr uint64_t kTerm = 3;
+// The `run` line of the deploy file.
+constexpr const char* kProgram = "target/kingcupmill-edge";
 
 sockaddr_in AddressOf(const std::string& ip, uint16_t port) {
   sockaddr_in address{};
@@ -424,12 +427,14 @@
                    std::string service,
                    std::string id,
                    bool is_primary,
+                   bool log_statements,
                    Rows rows)
     : record(record),
       log(log),
       service(std::move(service)),
       id(std::move(id)),
       is_primary(is_primary),
+      log_statements(log_statements),
       rows(std::move(rows)) {}
 
 void Database::ServeClient(Socket& socket) {
@@ -479,7 +484,7 @@
            std::to_string(kTerm) + " " + std::to_string(kTerm) + "." +
            std::to_string(this->log.position) + " 0 0 1 1\r\n" + done;
   if (verb == "PREPARE") {
-    const std::string name = TakeWord(text);
+    const size_t name = std::hash<std::string>()(TakeWord(text));
     session.prepared[name] = TakeWord(text);
     return done;
   }
@@ -499,7 +504,8 @@
   }
   std::this_thread::sleep_for(kStatementTime);
   if (verb == "EXECUTE") {
-    const auto prepared = session.prepared.find(TakeWord(text));
+    const auto prepared =
+        session.prepared.find(std::hash<std::string>()(TakeWord(text)));
     if (prepared == session.prepared.end())
       return "ERROR NOSTMT " + this->id + "\r\n";
     verb = prepared->second;
@@ -520,8 +526,9 @@
   } else if (verb != "READ") {
     return "ERROR MALFORMED " + this->id + "\r\n";
   }
-  this->record.Write("run server=" + this->id + " request=" + request +
-                     " text=\"" + whole + "\"");
+  if (this->log_statements)
+    this->record.Write("run server=" + this->id + " request=" + request +
+                       " text=\"" + whole + "\"");
   std::string answer;
   if (verb == "READ") {
     for (const std::string& row : this->rows(text))
@@ -558,11 +565,10 @@
         dup2(output, 2);
         const std::string boot = "KINGCUPMILL_BOOT=" + this->settings_path;
         const std::string path = std::string("PATH=") + std::getenv("PATH");
-        char program[] = "target/kingcupmill-edge";
-        char* arguments[] = {program, nullptr};
+        char* arguments[] = {const_cast<char*>(kProgram), nullptr};
         char* environment[] = {const_cast<char*>(boot.c_str()),
                                const_cast<char*>(path.c_str()), nullptr};
-        execve(program, arguments, environment);
+        execve(kProgram, arguments, environment);
         _exit(127);
       }
       this->pid = child;
@@ -570,17 +576,20 @@
     this->record.Write("start proxy=" + this->name);
     int status = 0;
     waitpid(child, &status, 0);
-    const std::lock_guard lock(this->mutex);
-    this->pid = -1;
-    if (this->is_stopping)
-      break;
-    if (!this->was_signalled)
-      ++this->own_end_count;
-    this->record.Write(
-        "end proxy=" + this->name +
-        (WIFSIGNALED(status) ? " signal=" + std::to_string(WTERMSIG(status))
-                             : " code=" + std::to_string(WEXITSTATUS(status))) +
-        (this->was_signalled ? " sent_by_test=yes" : " sent_by_test=no"));
+    {
+      const std::lock_guard lock(this->mutex);
+      this->pid = -1;
+      if (this->is_stopping)
+        break;
+      if (!this->was_signalled)
+        ++this->own_end_count;
+      std::string line = "end proxy=" + this->name;
+      line += WIFSIGNALED(status)
+                  ? " signal=" + std::to_string(WTERMSIG(status))
+                  : " code=" + std::to_string(WEXITSTATUS(status));
+      line += this->was_signalled ? " sent_by_test=yes" : " sent_by_test=no";
+      this->record.Write(line);
+    }
     std::this_thread::sleep_for(kRestartDelay);
   }
   this->has_stopped = true;
@@ -596,6 +605,31 @@
   kill(this->pid, signal);
 }
 
+void Proxy::EnforceMemory(size_t limit_bytes) {
+  const std::lock_guard lock(this->mutex);
+  if (this->pid <= 0)
+    return;
+  const std::string folder = "/proc/" + std::to_string(this->pid);
+  // Before its program runs, the process is a copy of this one.
+  std::string program;
+  std::getline(std::ifstream(folder + "/cmdline"), program, '\0');
+  if (program != kProgram)
+    return;
+  std::ifstream file(folder + "/statm");
+  size_t total_pages = 0;
+  size_t resident_pages = 0;
+  file >> total_pages >> resident_pages;
+  const size_t bytes =
+      resident_pages * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+  this->peak = std::max<size_t>(this->peak, bytes);
+  if (bytes <= limit_bytes)
+    return;
+  this->record.Write("memory proxy=" + this->name +
+                     " bytes=" + std::to_string(bytes) +
+                     " limit=" + std::to_string(limit_bytes));
+  kill(this->pid, SIGKILL);
+}
+
 void Proxy::Stop() {
   {
     const std::lock_guard lock(this->mutex);
@@ -641,7 +675,7 @@
   for (int index = 0; index < 3; ++index) {
     const std::string id = "i-7f3a91c" + std::to_string(index);
     auto* database = new Database(this->record, this->log, this->service, id,
-                                  index == 0, this->rows);
+                                  index == 0, this->log_statements, this->rows);
     this->databases.push_back(database);
     auto port = static_cast<uint16_t>(base + 1 + index);
     Serve(Listen("127.0.0.1", port),
--- a/review/standins-2/platform_standin.h
+++ b/review/standins-2/platform_standin.h
@@ -116,12 +116,14 @@
            std::string service,
            std::string id,
            bool is_primary,
+           bool log_statements,
            Rows rows);
   void ServeClient(Socket& socket);
 
  private:
   struct Session {
-    std::map<std::string, std::string> prepared;
+    // The access of each prepared statement, by the hash of its name.
+    std::map<size_t, std::string> prepared;
     char state = 'I';
     bool did_write = false;
   };
@@ -132,6 +134,7 @@
   std::string service;
   std::string id;
   bool is_primary;
+  bool log_statements;
   Rows rows;
 };
 
@@ -145,7 +148,12 @@
   void Signal(int signal);
   // Ends the process for good.
   void Stop();
-  // How often the process has ended although the test sent it no signal.
+  // Kills the process if it holds more memory than its machine has, as the
+  // platform does.
+  void EnforceMemory(size_t limit_bytes);
+  size_t peak_bytes() const { return this->peak; }
+  // How often the process has ended although the test sent it no signal, or
+  // for its memory.
   int own_ends() const { return this->own_end_count; }
 
  private:
@@ -159,6 +167,7 @@
   bool was_signalled = false;
   bool is_stopping = false;
   std::atomic<int> own_end_count = 0;
+  std::atomic<size_t> peak = 0;
   std::atomic<bool> has_stopped = true;
 };
 
@@ -174,6 +183,8 @@
   Record& record;
   Store store;
   std::string service = "svc-stock";
+  // Whether each statement that a server runs gets a line in the record.
+  bool log_statements = true;
   std::vector<Proxy*> proxies;
   // Where callers connect to each proxy.
   std::vector<std::pair<std::string, uint16_t>> caller_addresses;
