LibWire: Report malformed HTTP requests as errors

cpprestsdk throws from three places that Send() and the constructor call: the request's URI, the server's address, and the start of the request. A header value with a line end was not refused at all and would have added headers.

Send() now turns all of these into an outcome with kInvalidInput, delivered as any other failure, so callers retry or log as they do for a server that is away. Header values with control characters are refused.

--- a/Libraries/LibWire/http_client.cc
+++ b/Libraries/LibWire/http_client.cc
@@ -2,11 +2,15 @@
 
 #include <cpprest/http_client.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <exception>
 #include <future>
+#include <optional>
+#include <stdexcept>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
@@ -60,6 +64,29 @@
   return config;
 }
 
+bool has_control_character(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](unsigned char character) {
+    return character < ' ' || character == 0x7f;
+  });
+}
+
+web::http::http_request Convert(const HttpRequest& request) {
+  web::http::http_request native(request.method);
+  native.set_request_uri(request.query.empty()
+                             ? request.path
+                             : request.path + "?" + request.query);
+  for (const HttpHeader& header : request.headers) {
+    // A line end would add a header or a second request.
+    if (has_control_character(header.name) ||
+        has_control_character(header.value))
+      throw std::invalid_argument("a header has a control character");
+    native.headers().add(header.name, header.value);
+  }
+  if (!request.body.empty())
+    native.set_body(request.body, "application/json");
+  return native;
+}
+
 HttpResponse Convert(const web::http::http_response& native, std::string body) {
   HttpResponse response;
   response.status = native.status_code();
@@ -72,15 +99,31 @@
 }  // namespace
 
 struct HttpClient::State {
-  State(const std::string& address, Duration timeout)
-      : client("http://" + address,
-               MakeConfig(address, timeout, this->connections_opened)) {}
+  State(const std::string& address, Duration timeout) {
+    try {
+      this->client.emplace(
+          "http://" + address,
+          MakeConfig(address, timeout, this->connections_opened));
+    } catch (const std::exception&) {
+      this->address_error = std::current_exception();
+    }
+  }
+
+  // Throws what cpprestsdk throws on a request that it rejects.
+  pplx::task<web::http::http_response> Request(const HttpRequest& request) {
+    if (this->address_error)
+      std::rethrow_exception(this->address_error);
+    return this->client->request(Convert(request));
+  }
+
   ConnectionCounter connections_opened =
       std::make_shared<std::atomic<uint64_t>>(0);
-  http_client client;
+  // Absent if the address is malformed.
+  std::optional<http_client> client;
+  std::exception_ptr address_error;
 };
 
-HttpClient::HttpClient(std::string address, Duration timeout)
+HttpClient::HttpClient(const std::string& address, Duration timeout)
     : state(std::make_unique<State>(address, timeout)) {}
 
 HttpClient::~HttpClient() = default;
@@ -90,15 +133,15 @@
 }
 
 void HttpClient::Send(const HttpRequest& request, DidReceive did_receive) {
-  web::http::http_request native(request.method);
-  native.set_request_uri(request.query.empty()
-                             ? request.path
-                             : request.path + "?" + request.query);
-  for (const HttpHeader& header : request.headers)
-    native.headers().add(header.name, header.value);
-  if (!request.body.empty())
-    native.set_body(request.body, "application/json");
-  this->state->client.request(native)
+  pplx::task<web::http::http_response> response;
+  try {
+    response = this->state->Request(request);
+  } catch (const std::exception&) {
+    // Most callers run on an event loop, where an exception ends the process.
+    response = pplx::task_from_exception<web::http::http_response>(
+        std::current_exception());
+  }
+  response
       .then([](const web::http::http_response& response) {
         return response.extract_utf8string(true).then(
             [response](std::string body) {
@@ -116,6 +159,10 @@
           outcome = Error{
               has_timed_out ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
               exception.what()};
+        } catch (const web::uri_exception& exception) {
+          outcome = Error{ErrorCode::kInvalidInput, exception.what()};
+        } catch (const std::invalid_argument& exception) {
+          outcome = Error{ErrorCode::kInvalidInput, exception.what()};
         } catch (const std::exception& exception) {
           outcome = Error{ErrorCode::kUnavailable, exception.what()};
         }
--- a/Libraries/LibWire/http_client.h
+++ b/Libraries/LibWire/http_client.h
@@ -19,12 +19,14 @@
 
   // `address` is "IP:port". A request that gets no response within `timeout`
   // fails with kTimeout, one whose connection fails with kUnavailable.
-  HttpClient(std::string address, Duration timeout);
+  HttpClient(const std::string& address, Duration timeout);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Sends a request; `did_receive` is called on a thread of cpprestsdk's pool.
+  // Does not throw: a request or an address that is malformed fails with
+  // kInvalidInput. Texts in the path and the query must be percent-encoded.
   void Send(const HttpRequest& request, DidReceive did_receive);
 
   // The number of connections opened so far. A request during which it does not
