LibPlatform, LibOperator: Encode names in paths and queries

Evidence: the new test failed before: "provided uri is invalid: /blobs/old rack/14", thrown to the caller, for the daemon on its event loop.

All of them are percent-encoded now, and the administration interface decodes its parameters. "/" stays in paths, as docs/PLATFORM.md names keys with it.

After: rows and blobs with reserved characters in their names are written and read back through the platform's stand-in.

--- a/Libraries/LibOperator/operator_commands.cc
+++ b/Libraries/LibOperator/operator_commands.cc
@@ -11,6 +11,7 @@
 #include "LibConfiguration/publisher.h"
 #include "LibOperator/arrangement_diff.h"
 #include "LibWire/http_client.h"
+#include "LibWire/percent_encoding.h"
 
 namespace kingcupmill {
 
@@ -301,7 +302,7 @@
     std::optional<int64_t> position) {
   HttpClient client(proxy, this->timeout);
   HttpRequest request = MakeRequest("GET", "/admin/explain");
-  request.query = "group=" + group;
+  request.query = "group=" + EncodeQueryValue(group);
   if (maximum_age_ms)
     request.query += "&max_age_ms=" + std::to_string(*maximum_age_ms);
   if (position)
--- a/Libraries/LibPlatform/http_platform_client.cc
+++ b/Libraries/LibPlatform/http_platform_client.cc
@@ -5,6 +5,7 @@
 
 #include "LibPlatform/vm_json.h"
 #include "LibWire/http_client.h"
+#include "LibWire/percent_encoding.h"
 
 namespace kingcupmill {
 
@@ -20,20 +21,20 @@
 }
 
 HttpRequest RowRequest(std::string_view key) {
-  return MakeRequest("GET", "/table/" + std::string(key));
+  return MakeRequest("GET", "/table/" + EncodePath(key));
 }
 
 HttpRequest RowWriteRequest(std::string_view key,
                             std::string_view value,
                             uint64_t expected) {
-  HttpRequest request = MakeRequest("PUT", "/table/" + std::string(key));
+  HttpRequest request = MakeRequest("PUT", "/table/" + EncodePath(key));
   request.query = "expected=" + std::to_string(expected);
   request.body = json{{"value", value}}.dump();
   return request;
 }
 
 HttpRequest BlobRequest(std::string_view digest) {
-  return MakeRequest("GET", "/blobs/" + std::string(digest));
+  return MakeRequest("GET", "/blobs/" + EncodePath(digest));
 }
 
 tl::unexpected<Error> UnexpectedStatus(const HttpResponse& response) {
@@ -126,7 +127,7 @@
 
 Result<void> HttpPlatformClient::WriteBlob(std::string_view digest,
                                            std::string_view text) {
-  HttpRequest request = MakeRequest("PUT", "/blobs/" + std::string(digest));
+  HttpRequest request = MakeRequest("PUT", "/blobs/" + EncodePath(digest));
   request.body = std::string(text);
   KINGCUPMILL_TRY(response, this->client->SendAndWait(request));
   if (response.status != 200)
--- a/Libraries/LibProxy/admin_interface.cc
+++ b/Libraries/LibProxy/admin_interface.cc
@@ -10,6 +10,7 @@
 #include "LibProxy/proxy_metrics.h"
 #include "LibProxy/proxy_settings.h"
 #include "LibProxy/socket_peer_network.h"
+#include "LibWire/percent_encoding.h"
 
 namespace kingcupmill {
 
@@ -29,20 +30,6 @@
       status, {{"error", {{"code", "invalid_request"}, {"message", message}}}});
 }
 
-// Returns the value of the parameter `name` in a query string such as
-// "a=1&b=2".
-std::optional<std::string> FindParameter(std::string_view query,
-                                         std::string_view name) {
-  while (!query.empty()) {
-    const std::string_view item = query.substr(0, query.find('&'));
-    query.remove_prefix(std::min(item.size() + 1, query.size()));
-    const size_t equals = item.find('=');
-    if (equals != std::string_view::npos && item.substr(0, equals) == name)
-      return std::string(item.substr(equals + 1));
-  }
-  return std::nullopt;
-}
-
 std::optional<int64_t> ParseInteger(const std::string& text) {
   int64_t number = 0;
   const char* end = text.data() + text.size();
@@ -181,7 +168,7 @@
 }
 
 HttpResponse AdminInterface::Explain(const HttpRequest& request) const {
-  const auto group = FindParameter(request.query, "group");
+  const auto group = FindQueryValue(request.query, "group");
   if (!group)
     return ErrorResponse(400, "the parameter group is missing");
   const GroupName name{*group};
@@ -189,13 +176,13 @@
     return ErrorResponse(404, "the group is not declared");
   ReadQuery query;
   query.arrived_at = this->scheduler.Now();
-  if (const auto age = FindParameter(request.query, "max_age_ms")) {
+  if (const auto age = FindQueryValue(request.query, "max_age_ms")) {
     const auto milliseconds = ParseInteger(*age);
     if (!milliseconds)
       return ErrorResponse(400, "max_age_ms is not a whole number");
     query.maximum_age = Milliseconds(*milliseconds);
   }
-  if (const auto position = FindParameter(request.query, "position")) {
+  if (const auto position = FindQueryValue(request.query, "position")) {
     const auto number = ParseInteger(*position);
     if (!number)
       return ErrorResponse(400, "position is not a whole number");
