LibCore: Limit the nesting of CBOR from other processes

A message of two megabytes that opens an array in an array, and so on, ended the proxy that received it on the port between proxies (SIGSEGV): the CBOR parser of nlohmann::json recurses once for each level, until the stack is used up.

Evidence: the new case of "messages between proxies" crashed before.

Messages between proxies, messages to the first engine's targets and between its proxies all use it. The parser of JSON texts does not recurse.

--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "LibCore/cbor.h"
 #include "LibCore/verify.h"
 #include "LibPeer/peer_json.h"
 
@@ -490,8 +491,8 @@
 }
 
 Result<DecodedPeerMessage> DecodePeerBytes(const std::vector<uint8_t>& bytes) {
+  KINGCUPMILL_TRY(message, DecodeCbor(bytes));
   try {
-    const json message = json::from_cbor(bytes);
     return MessageFromJson(message.at(0), message.at(1));
   } catch (const json::exception& exception) {
     return Fail(ErrorCode::kInvalidInput, exception.what());
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -271,6 +271,12 @@
     bytes.resize(bytes.size() - 2);
     CHECK_FALSE(DecodePeerBytes(bytes).has_value());
   }
+
+  // Guards against a message that overflows the stack of the event loop.
+  SUBCASE("that are nested too deeply are rejected without a crash") {
+    CHECK_FALSE(
+        DecodePeerBytes(std::vector<uint8_t>(2'000'000, 0x81)).has_value());
+  }
 }
 
 }  // namespace kingcupmill
--- a/Libraries/LibProxy/peer_message.cc
+++ b/Libraries/LibProxy/peer_message.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "LibCore/cbor.h"
 #include "LibRequests/client_codec.h"
 
 namespace kingcupmill {
@@ -126,8 +127,9 @@
 }
 
 Result<PeerMessage> DecodePeerMessage(std::span<const uint8_t> bytes) {
+  KINGCUPMILL_TRY(message, DecodeCbor(bytes));
   try {
-    return DecodeBody(json::from_cbor(bytes.begin(), bytes.end()));
+    return DecodeBody(message);
   } catch (const json::exception& exception) {
     return Fail(ErrorCode::kInvalidInput, exception.what());
   }
--- a/Libraries/LibTarget/target_codec.cc
+++ b/Libraries/LibTarget/target_codec.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "LibCore/cbor.h"
 #include "LibSql/sql_json.h"
 #include "LibTarget/target_request.h"
 #include "LibTarget/target_response.h"
@@ -53,8 +54,8 @@
 // because nlohmann::json reports type mismatches only by throwing.
 template <typename T, typename Decode>
 Result<T> DecodeMessage(std::span<const uint8_t> bytes, Decode&& decode) {
+  KINGCUPMILL_TRY(message, DecodeCbor(bytes));
   try {
-    const json message = json::from_cbor(bytes.begin(), bytes.end());
     return decode(message);
   } catch (const json::exception& exception) {
     return Fail(ErrorCode::kInvalidInput, exception.what());
