LibWire: Connect WebSockets only to an IP address and a port

A proxy takes the addresses of the others from the keys of rows in its coordination table. One of another form was put into the URI of the connection as it was: a path with a line end in it added lines of its own to the HTTP request, and a name was looked up.

Evidence: the new test's listener received the added line before. No text that was tried (rapidcheck) made websocketpp throw.

The address is parsed first, and one that is not "IP:port" is reported as closed, as the header says.

After: nothing reaches the listener.

--- a/Libraries/LibWire/web_socket_client.cc
+++ b/Libraries/LibWire/web_socket_client.cc
@@ -3,6 +3,7 @@
 #include <websocketpp/client.hpp>
 
 #include "LibWire/event_loop.h"
+#include "LibWire/tcp_detail.h"
 #include "LibWire/web_socket_detail.h"
 
 namespace kingcupmill {
@@ -26,11 +27,17 @@
 std::shared_ptr<WebSocketConnection> WebSocketClient::Connect(
     const std::string& address,
     WebSocketHandlers handlers) {
-  websocketpp::lib::error_code error;
-  auto native =
-      this->state->endpoint.get_connection("ws://" + address + "/", error);
-  auto adapter = std::make_shared<Adapter>(error ? nullptr : native);
-  if (error) {
+  // Any other text could be a name to look up or continue the request with
+  // lines of its own.
+  boost::asio::ip::tcp::endpoint endpoint;
+  Endpoint::connection_ptr native;
+  if (ParseEndpoint(address, endpoint)) {
+    websocketpp::lib::error_code error;
+    native =
+        this->state->endpoint.get_connection("ws://" + address + "/", error);
+  }
+  auto adapter = std::make_shared<Adapter>(native);
+  if (!native) {
     this->state->loop.Post([adapter, did_close = handlers.did_close] {
       if (did_close)
         did_close(adapter);
--- /dev/null
+++ b/Libraries/LibWire/web_socket_test.cc
@@ -0,0 +1,68 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "LibWire/event_loop.h"
+#include "LibWire/line_connection.h"
+#include "LibWire/web_socket_client.h"
+
+namespace kingcupmill {
+
+// Guards against an address in a row of another writer that ends the process or
+// adds lines to the request for the connection.
+TEST_CASE("a WebSocket connection to an address that is malformed") {
+  EventLoop loop;
+  WebSocketClient client(loop);
+  loop.Start();
+  const auto closes = [&](const std::string& address) {
+    const auto closed = std::make_shared<std::promise<void>>();
+    loop.Post([&client, address, closed] {
+      WebSocketHandlers handlers;
+      handlers.did_close = [closed](const auto&) { closed->set_value(); };
+      client.Connect(address, std::move(handlers));
+    });
+    return closed->get_future().wait_for(std::chrono::seconds(1)) ==
+           std::future_status::ready;
+  };
+
+  SUBCASE("is closed") {
+    for (const char* address :
+         {"", "old rack/14", "[::1", "127.0.0.1", "127.0.0.1:x", "localhost:1",
+          "127.0.0.1:99999", "127.0.0.1:1/\r\nHost: x", "a@127.0.0.1:1",
+          "127.0.0.1:1:1", "[127.0.0.1]:1", ":1", "127.0.0.1:"}) {
+      CAPTURE(address);
+      CHECK(closes(address));
+    }
+  }
+
+  SUBCASE("sends nothing") {
+    constexpr const char* kAddress = "127.0.0.1:20957";
+    std::atomic<bool> has_received = false;
+    Result<std::unique_ptr<LineListener>> listener = LineListener::Create(
+        loop, kAddress,
+        [&](const std::shared_ptr<LineConnection>& connection) {
+          LineHandlers handlers;
+          handlers.did_receive_line = [&](std::string_view) {
+            has_received = true;
+          };
+          LineListener::SetHandlers(*connection, std::move(handlers));
+        },
+        nullptr);
+    REQUIRE(listener.has_value());
+    closes(std::string(kAddress) + "/\r\nInjected: x");
+    CHECK_FALSE(has_received);
+  }
+
+  SUBCASE("is closed whatever its bytes are") {
+    CHECK(rc::check("any text", [&](const std::string& address) {
+      RC_ASSERT(closes(address + ":x"));
+    }));
+  }
+  loop.Stop();
+}
+
+}  // namespace kingcupmill
