--- a/Libraries/LibWire/http_client.cc
+++ b/Libraries/LibWire/http_client.cc
@@ -2,7 +2,6 @@
 
 #include <cpprest/http_client.h>
 
-#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
@@ -10,10 +9,10 @@
 #include <future>
 #include <optional>
 #include <stdexcept>
-#include <string_view>
 #include <system_error>
 #include <utility>
 
+#include "LibCore/text.h"
 #include "LibWire/tcp_detail.h"
 
 namespace kingcupmill {
@@ -64,12 +63,6 @@
   return config;
 }
 
-bool has_control_character(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](unsigned char character) {
-    return character < ' ' || character == 0x7f;
-  });
-}
-
 web::http::http_request Convert(const HttpRequest& request) {
   web::http::http_request native(request.method);
   native.set_request_uri(request.query.empty()
