LibPeer, platform: Reject texts that JSON and lines can't carry

Another proxy could end this one with a name that is not valid UTF-8: a forwarded change of the store with such a key made nlohmann::json throw from the event loop when StoreClient wrote the call's body, and such a name of a primary would when its row was written. An answer with a line end in a row would have given a caller lines that no server sent. CBOR carries any bytes, so nothing refused them.

Messages between proxies are now rejected as a whole if a name in them is not UTF-8 or if an answer has a line end; values of rows stay free.

--- a/Libraries/LibPeer/forward_query.cc
+++ b/Libraries/LibPeer/forward_query.cc
@@ -18,7 +18,7 @@
 CallerRoute RouteFromJson(const json& value) {
   CallerRoute route;
   route.kind = EnumFromJson(value.at(0), RouteKind::kReadYourWrites);
-  route.group.value = value.at(1);
+  route.group.value = NameFromJson(value.at(1));
   route.statement_timeout = Duration(value.at(2).get<int64_t>());
   route.target_latency = Duration(value.at(3).get<int64_t>());
   route.priority = value.at(4);
@@ -70,7 +70,7 @@
   query.statement_id = value.at(9);
   // Absent without customers, and from earlier versions of this program.
   if (value.size() > 12) {
-    query.customer.value = value.at(10);
+    query.customer.value = NameFromJson(value.at(10));
     query.customer_priority = value.at(11);
     query.customer_weight = value.at(12);
   }
--- a/Libraries/LibPeer/peer_json.cc
+++ b/Libraries/LibPeer/peer_json.cc
@@ -2,12 +2,32 @@
 
 #include <string>
 #include <utility>
-#include <vector>
+
+#include "LibCore/text.h"
 
 namespace kingcupmill {
 
 using nlohmann::json;
 
+namespace {
+
+// Decodes a part of an answer, which becomes a part of a line.
+std::string LinePartFromJson(const json& value) {
+  auto text = value.get<std::string>();
+  if (text.find("\r\n") != std::string::npos)
+    throw json::other_error::create(501, "a line end in an answer", &value);
+  return text;
+}
+
+}  // namespace
+
+std::string NameFromJson(const json& value) {
+  auto name = value.get<std::string>();
+  if (!is_utf8(name))
+    throw json::other_error::create(501, "a name is not valid UTF-8", &value);
+  return name;
+}
+
 json ToJson(const std::optional<LogPoint>& point) {
   if (!point)
     return nullptr;
@@ -59,12 +79,13 @@
 
 StatementAnswer StatementAnswerFromJson(const json& value) {
   StatementAnswer answer;
-  answer.rows = value.at(0).get<std::vector<std::string>>();
-  answer.receipt = value.at(1);
+  for (const json& row : value.at(0))
+    answer.rows.push_back(LinePartFromJson(row));
+  answer.receipt = LinePartFromJson(value.at(1));
   if (const json& error = value.at(2); !error.is_null())
     answer.error = StatementError{
         EnumFromJson(error.at(0), StatementErrorCode::kNotAuthorized),
-        error.at(1)};
+        LinePartFromJson(error.at(1))};
   answer.state = EnumFromJson(value.at(3), SessionState::kFailedTransaction);
   answer.position = PointFromJson(value.at(4));
   if (const json& report = value.at(5); !report.is_null())
--- a/Libraries/LibPeer/peer_json.h
+++ b/Libraries/LibPeer/peer_json.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string>
 
 #include "LibCore/names.h"
 #include "LibLink/target_command.h"
@@ -14,6 +15,10 @@
 // FromJson functions throw json::exception on anything that ToJson() does not
 // write; DecodePeerBytes() turns the exception into an error.
 
+// Decodes a name. Throws json::exception unless it is valid UTF-8, since names
+// are written into JSON texts later.
+std::string NameFromJson(const nlohmann::json& value);
+
 nlohmann::json ToJson(const std::optional<LogPoint>& point);
 std::optional<LogPoint> PointFromJson(const nlohmann::json& value);
 
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -70,7 +70,7 @@
 
 TableCopy TableCopyFromJson(const json& value) {
   TableCopy copy;
-  copy.table = value.at(0);
+  copy.table = NameFromJson(value.at(0));
   copy.version = VersionFromJson(value, 2, 6);
   copy.age = Duration(value.at(3).get<int64_t>());
   if (const json& available_for = value.at(4); !available_for.is_null())
@@ -82,7 +82,7 @@
   delta.is_snapshot = value.at(5);
   for (const json& row : value.at(1))
     delta.rows.rows.push_back(
-        StoreRow{row.at(0), row.at(1),
+        StoreRow{NameFromJson(row.at(0)), row.at(1),
                  MakeStoreVersion(EraOf(copy.version), row.at(2)), row.at(3)});
   copy.delta = std::move(delta);
   return copy;
@@ -98,13 +98,13 @@
 
 PrimaryRecord PrimaryRecordFromJson(const json& value) {
   PrimaryRecord record;
-  record.group.value = value.at(0);
+  record.group.value = NameFromJson(value.at(0));
   record.term.value = value.at(1);
-  record.primary.value = value.at(2);
+  record.primary.value = NameFromJson(value.at(2));
   record.state =
       value.at(3).get<bool>() ? PrimaryState::kClosing : PrimaryState::kServing;
   record.is_planned = value.at(4);
-  record.promotion_target.value = value.at(5);
+  record.promotion_target.value = NameFromJson(value.at(5));
   record.version = VersionFromJson(value, 6, 7);
   return record;
 }
@@ -283,7 +283,7 @@
     answer.tables.push_back(TableCopyFromJson(table));
   for (const json& value : body.at(2)) {
     PositionSampleCopy sample;
-    sample.group.value = value.at(0);
+    sample.group.value = NameFromJson(value.at(0));
     sample.position.term.value = value.at(1);
     sample.position.position.value = value.at(2);
     sample.age = Duration(value.at(3).get<int64_t>());
@@ -307,9 +307,9 @@
 
 ClosePrimaryQuery ClosePrimaryQueryFromJson(const json& body) {
   ClosePrimaryQuery query;
-  query.record.group.value = body.at(1);
+  query.record.group.value = NameFromJson(body.at(1));
   query.record.term.value = body.at(2);
-  query.record.primary.value = body.at(3);
+  query.record.primary.value = NameFromJson(body.at(3));
   query.record.state = PrimaryState::kClosing;
   query.record.is_planned = body.at(4);
   query.record.version = VersionFromJson(body, 5, 6);
@@ -342,26 +342,29 @@
   answer.incarnation = body.at(1);
   answer.duration = Duration(body.at(2).get<int64_t>());
   for (const json& entry : body.at(3))
-    answer.version_by_group.emplace(GroupName{entry.at(0)},
+    answer.version_by_group.emplace(GroupName{NameFromJson(entry.at(0))},
                                     VersionFromJson(entry, 1, 2));
   return answer;
 }
 
 StoreChangeQuery StoreChangeQueryFromJson(const json& body) {
   StoreChangeQuery query;
-  query.table = body.at(1);
+  query.table = NameFromJson(body.at(1));
   for (const json& row : body.at(2))
-    query.change.expected.push_back({row.at(0), VersionFromJson(row, 1, 2)});
+    query.change.expected.push_back(
+        {NameFromJson(row.at(0)), VersionFromJson(row, 1, 2)});
   for (const json& row : body.at(3))
-    query.change.puts.push_back({row.at(0), row.at(1)});
-  query.change.removals = body.at(4).get<std::vector<std::string>>();
+    query.change.puts.push_back({NameFromJson(row.at(0)), row.at(1)});
+  for (const json& key : body.at(4))
+    query.change.removals.push_back(NameFromJson(key));
   return query;
 }
 
 // Reads a customer at this place of an array. It is absent where no customers
 // are declared.
 CustomerName CustomerFromJson(const json& body, size_t place) {
-  return body.size() > place ? CustomerName{body.at(place)} : CustomerName{};
+  return body.size() > place ? CustomerName{NameFromJson(body.at(place))}
+                             : CustomerName{};
 }
 
 // Reads a rate or a number of tokens. Throws json::exception unless the value
@@ -375,7 +378,7 @@
 
 UsageQuery UsageQueryFromJson(const json& body) {
   UsageQuery query;
-  query.customer.value = body.at(1);
+  query.customer.value = NameFromJson(body.at(1));
   query.proxy = body.at(2);
   query.wanted = body.at(3);
   query.offline_rate = AmountFromJson(body.at(4));
@@ -420,16 +423,17 @@
     case kClosePrimaryQuery:
       return NumberedQuery{number, ClosePrimaryQueryFromJson(body)};
     case kHealthQuery:
-      return NumberedQuery{number, HealthQuery{GroupName{body.at(1)}}};
+      return NumberedQuery{number,
+                           HealthQuery{GroupName{NameFromJson(body.at(1))}}};
     case kStoreCopyAnswer:
       return NumberedAnswer{number, StoreCopyAnswerFromJson(body)};
     case kClosePrimaryAnswer:
       return NumberedAnswer{number, ClosePrimaryAnswerFromJson(body)};
     case kBorrowQuery:
       return NumberedQuery{
-          number,
-          BorrowQuery{body.at(1), GroupName{body.at(2)}, TargetName{body.at(3)},
-                      CustomerFromJson(body, 4)}};
+          number, BorrowQuery{body.at(1), GroupName{NameFromJson(body.at(2))},
+                              TargetName{NameFromJson(body.at(3))},
+                              CustomerFromJson(body, 4)}};
     case kRelayQuery:
       return NumberedQuery{number, RelayQueryFromJson(body)};
     case kReturnQuery:
@@ -471,7 +475,7 @@
       return NumberedAnswer{number, UsageAnswerFromJson(body)};
     case kUsagePoolQuery:
       return NumberedQuery{
-          number, UsagePoolQuery{CustomerName{body.at(1)},
+          number, UsagePoolQuery{CustomerName{NameFromJson(body.at(1))},
                                  AmountFromJson(body.at(2)), body.at(3)}};
     case kUsagePoolAnswer:
       return NumberedAnswer{number, UsagePoolAnswer{body.at(1)}};
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -272,6 +272,63 @@
     CHECK_FALSE(DecodePeerBytes(bytes).has_value());
   }
 
+  // Guards against a name that ends the process when it is written into a JSON
+  // text for the store or the platform.
+  SUBCASE("that have a name in another encoding are rejected") {
+    constexpr const char* kOdd = "a\xff";
+    const auto is_rejected = [](const std::vector<uint8_t>& bytes) {
+      return !DecodePeerBytes(bytes).has_value();
+    };
+    StoreChangeQuery change;
+    change.change.puts.push_back({kOdd, "value"});
+    CHECK(is_rejected(EncodeQuery(1, change)));
+    change.change = TableChange{};
+    change.change.expected.push_back({kOdd, 1});
+    CHECK(is_rejected(EncodeQuery(1, change)));
+    change.change = TableChange{};
+    change.change.removals.push_back(kOdd);
+    CHECK(is_rejected(EncodeQuery(1, change)));
+    change = StoreChangeQuery{kOdd, TableChange{}};
+    CHECK(is_rejected(EncodeQuery(1, change)));
+    HealthAnswer health;
+    health.knowledge.emplace();
+    health.knowledge->earlier.emplace();
+    health.knowledge->earlier->primary.value = kOdd;
+    CHECK(is_rejected(EncodeAnswer(1, health)));
+    ClosePrimaryQuery close;
+    close.record.group.value = kOdd;
+    CHECK(is_rejected(EncodeQuery(1, close)));
+    StoreCopyAnswer copies;
+    copies.tables.emplace_back();
+    copies.tables[0].delta.emplace();
+    copies.tables[0].delta->rows.rows.push_back(StoreRow{kOdd, "", 1, false});
+    CHECK(is_rejected(EncodeAnswer(1, copies)));
+    // A value may have any bytes.
+    copies.tables[0].delta->rows.rows[0] = StoreRow{"a", kOdd, 1, false};
+    CHECK_FALSE(is_rejected(EncodeAnswer(1, copies)));
+  }
+
+  // Guards against an answer that adds lines to those of a caller.
+  SUBCASE("that have a line end in an answer are rejected") {
+    const auto is_rejected = [](const StatementAnswer& answer) {
+      ForwardAnswer forwarded;
+      forwarded.answer = answer;
+      return !DecodePeerBytes(EncodeAnswer(1, forwarded)).has_value();
+    };
+    StatementAnswer answer;
+    answer.rows = {"a\tb\n", "\xff"};
+    answer.receipt = "r";
+    CHECK_FALSE(is_rejected(answer));
+    answer.rows = {"a", "b\r\nCOMPLETE x"};
+    CHECK(is_rejected(answer));
+    answer.rows.clear();
+    answer.receipt = "r\r\n";
+    CHECK(is_rejected(answer));
+    answer.receipt.clear();
+    answer.error = StatementError{StatementErrorCode::kFailed, "a\r\nb"};
+    CHECK(is_rejected(answer));
+  }
+
   // Guards against a message that overflows the stack of the event loop.
   SUBCASE("that are nested too deeply are rejected without a crash") {
     CHECK_FALSE(
