Meta: Play a soak beside a foreign writer

FOREIGN_WRITER=1 fills more than one page of the servers' table and writes and removes rows of any form in the tables that proxies read, under keys with reserved characters, line ends and the prefixes of the proxies' own rows. A proxy that ends by SIGABRT, SIGSEGV and the like now fails every soak; before, the script started it again in silence.

--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -9,6 +9,8 @@
 # during the faults, and configurations are checked after further silences.
 # With CUSTOMERS=N callers belong to N customers, servers check under whose name the
 # connection of a statement was opened, and a key is added and removed all the time.
+# With FOREIGN_WRITER=1 other software writes rows of any form into the store's tables.
+# A proxy that ends by itself fails the seed.
 # With OLD_BUILD=FOLDER every second proxy runs the binary of that build folder.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -26,7 +28,12 @@
   while [ ! -e "$1/stop" ]; do
     "$program" --settings "$1/proxy-$2.toml" >>"$1/proxy-$2.log" 2>&1 &
     echo $! >"$1/proxy-$2.pid"
-    wait $! 2>/dev/null || true
+    local status=0
+    wait $! 2>/dev/null || status=$?
+    # The soak itself sends only SIGTERM, SIGKILL, SIGSTOP and SIGCONT.
+    case $status in
+      132 | 134 | 135 | 136 | 139) echo "proxy $2 ended with status $status" >>"$1/own-ends" ;;
+    esac
     rm -f "$1/proxy-$2.pid"
     sleep 0.3
   done
@@ -40,6 +47,7 @@
     --fault-seconds "$seconds" --base-port "$port" \
     --restores "${RESTORES:-0}" --sync-replicas "${SYNC_REPLICAS:-0}" \
     --silences "${SILENCES:-0}" --customers "${CUSTOMERS:-0}" \
+    ${FOREIGN_WRITER:+--foreign-writer} \
     >"$folder/soak.log" 2>&1 &
   soak=$!
   until [ -e "$folder/ready" ] || ! kill -0 "$soak" 2>/dev/null; do sleep 0.05; done
@@ -56,6 +64,10 @@
   done
   for keeper in "${keepers[@]}"; do wait "$keeper" 2>/dev/null || true; done
   grep -h '^seed ' "$folder/soak.log" || cat "$folder/soak.log"
+  if [ -e "$folder/own-ends" ]; then
+    sed "s/^/seed $seed: /" "$folder/own-ends" | sort | uniq -c
+    code=1
+  fi
   [ "$code" -eq 0 ] || failed=$((failed + 1))
   [ "$code" -ne 0 ] || [ -n "${KEEP_LOGS:-}" ] || rm -rf "$folder"
 done
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -17,5 +17,6 @@
 SYNC_REPLICAS=1 Meta/soak.sh 201 1 5 9
 SILENCES=3 Meta/soak.sh 301 1 5 9
 CUSTOMERS=3 Meta/soak.sh 401 1 5 9
+FOREIGN_WRITER=1 Meta/soak.sh 501 1 5 9
 Meta/by_hand.sh >build/by_hand.log 2>&1 || { tail -40 build/by_hand.log; exit 1; }
 tail -n 1 <(grep 'by hand:' build/by_hand.log)
--- a/Utilities/kingcupmill_soak.cc
+++ b/Utilities/kingcupmill_soak.cc
@@ -94,6 +94,8 @@
                  "Number of customers whose callers have keys")
       ->check(CLI::Range(0, 100))
       ->capture_default_str();
+  app.add_flag("--foreign-writer", options.has_foreign_writer,
+               "Rows of any form are written into the store's tables");
   CLI11_PARSE(app, argc, argv);
   options.fault_duration = std::chrono::seconds(fault_seconds);
   kingcupmill::UseJsonLog();
