LibProxy: Take a primary's row of another form for an old one

kingcupmilld could be ended by another writer's row: before it records a promotion, it reads the group's row, and a term that was no number made nlohmann::json throw from the event loop.

Evidence: the new test, with the code as it was: "type must be number, but is string" thrown, and a negative term taken for a large one.

The row has functions of its own now, and any other form has term 0, so the proxy writes its record over it.

After: the test passes, also with any bytes (rapidcheck).

--- a/Libraries/LibProxy/control_agent.cc
+++ b/Libraries/LibProxy/control_agent.cc
@@ -1,7 +1,6 @@
 #include "LibProxy/control_agent.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
@@ -9,6 +8,7 @@
 #include "LibConfiguration/change_record.h"
 #include "LibCore/decision_log.h"
 #include "LibProxy/peer_network.h"
+#include "LibProxy/primary_row.h"
 #include "LibProxy/proxy_core.h"
 
 namespace kingcupmill {
@@ -223,20 +223,14 @@
 void ControlAgent::RecordPromotion(const GroupName& group,
                                    const RecordPrimary& record) {
   const std::string key = "primary-" + group.value;
-  const std::string value = nlohmann::json{
-      {"target", record.target.value},
-      {"term",
-       record.term.value}}.dump();
+  const std::string value = EncodePrimaryRow(record.target, record.term);
   PlatformLink* platform_link = &this->platform;
   platform_link->ReadRow(key, [platform_link, key, value, record](
                                   const ValueOrError<PlatformRow>& outcome) {
     const auto* row = std::get_if<PlatformRow>(&outcome);
     if (!row)
       return;
-    const auto parsed = nlohmann::json::parse(row->value, nullptr, false);
-    const uint64_t known =
-        parsed.is_object() ? parsed.value("term", uint64_t{0}) : 0;
-    if (known < record.term.value)
+    if (DecodePrimaryRowTerm(row->value) < record.term)
       platform_link->WriteRow(key, value, row->version, [](const auto&) {});
   });
 }
