LibMetrics: Escape names in the labels of metrics

The name of a group, which the operator's configuration sets, was put into each label as it was: one with a quote or a line end made all metrics of a proxy unreadable, or added others.

EscapeMetricLabel() writes backslashes, quotes and line feeds as the text format of Prometheus asks.

--- a/Libraries/LibGateway/group_metrics.cc
+++ b/Libraries/LibGateway/group_metrics.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 
 #include "LibDispatch/group_dispatcher.h"
+#include "LibMetrics/metric_label.h"
 
 namespace kingcupmill {
 
@@ -25,8 +26,9 @@
       "kingcupmill_connections_opened_total{{group=\"{0}\"}} {8}\n"
       "kingcupmill_connections_reassigned_total{{group=\"{0}\"}} {9}\n"
       "kingcupmill_primary_silence_seconds{{group=\"{0}\"}} {10:.3f}\n",
-      group.value, is_lease_held ? 1 : 0, queue.size(), queue.hopeless_count(),
-      queue.expired_count(), dispatcher.zone_balancer().actual_share(),
+      EscapeMetricLabel(group.value), is_lease_held ? 1 : 0, queue.size(),
+      queue.hopeless_count(), queue.expired_count(),
+      dispatcher.zone_balancer().actual_share(),
       dispatcher.zone_balancer().departures(),
       dispatcher.connection_limit_refusals(), dispatcher.connections_opened(),
       dispatcher.connections_reassigned(),
