LibWire: Play malformed WebSocket requests against the server

Sends malformed request lines, hosts, ports, lengths, extensions and frames, and any bytes (rapidcheck).

Measured: none ended the process, so nothing was changed in the server.

--- a/Libraries/LibWire/web_socket_test.cc
+++ b/Libraries/LibWire/web_socket_test.cc
@@ -9,6 +9,7 @@
 #include "LibWire/event_loop.h"
 #include "LibWire/line_connection.h"
 #include "LibWire/web_socket_client.h"
+#include "LibWire/web_socket_server.h"
 
 namespace kingcupmill {
 
@@ -65,4 +66,62 @@
   loop.Stop();
 }
 
+// Guards against a request that ends the process.
+TEST_CASE("a WebSocket request that is malformed") {
+  constexpr const char* kAddress = "127.0.0.1:20954";
+  EventLoop loop;
+  WebSocketServer server(loop, WebSocketHandlers{});
+  std::string error;
+  REQUIRE(server.Listen(kAddress, error) != 0);
+  loop.Start();
+  const auto send = [&](const std::string& bytes) {
+    auto closed = std::make_shared<std::promise<void>>();
+    std::shared_ptr<LineConnection> connection;
+    std::promise<void> is_sent;
+    loop.Post([&, bytes, closed] {
+      LineHandlers handlers;
+      handlers.did_close = [closed] { closed->set_value(); };
+      connection = LineConnection::Connect(loop, kAddress, std::move(handlers));
+      connection->Send(bytes);
+      is_sent.set_value();
+    });
+    is_sent.get_future().get();
+    closed->get_future().wait_for(std::chrono::milliseconds(50));
+    loop.Post([connection] { connection->Abort(); });
+  };
+  const std::string upgrade =
+      "Upgrade: websocket\r\nConnection: Upgrade\r\n"
+      "Sec-WebSocket-Version: 13\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n";
+
+  SUBCASE("is rejected") {
+    for (const std::string& bytes :
+         {std::string("\r\n\r\n"), std::string("GET\r\n\r\n"),
+          "GET / HTTP/1.1\r\nHost: [::1\r\n" + upgrade + "\r\n",
+          "GET / HTTP/1.1\r\nHost: a:99999\r\n" + upgrade + "\r\n",
+          "GET / HTTP/1.1\r\nHost: a:x\r\n" + upgrade + "\r\n",
+          "GET %zz HTTP/9.9\r\nHost: a\r\n" + upgrade + "\r\n",
+          "GET / HTTP/1.1\r\n" + upgrade + "\r\n",
+          "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n" + upgrade +
+              "\r\n",
+          "GET / HTTP/1.1\r\nHost: a\r\n" + upgrade +
+              "Sec-WebSocket-Extensions: ;,=\"\r\n"
+              "Sec-WebSocket-Protocol: ,,\r\n\r\n",
+          "GET / HTTP/1.1\r\nHost: a\r\n" + upgrade +
+              "\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff",
+          "GET / HTTP/1.1\r\nHost: a\r\n" + upgrade + "\r\n\x88\x01\x03"}) {
+      CAPTURE(bytes);
+      send(bytes);
+    }
+  }
+
+  SUBCASE("is rejected whatever its bytes are") {
+    CHECK(rc::check("any bytes", [&](const std::string& bytes) {
+      send("GET / HTTP/1.1\r\nHost: " + bytes + "\r\n" + upgrade + "\r\n");
+      send("GET / HTTP/1.1\r\nHost: a\r\n" + upgrade + "\r\n" + bytes);
+    }));
+  }
+  loop.Stop();
+}
+
 }  // namespace kingcupmill
