LibPeer: Reject a text in the place of a list

The decoders of messages between proxies, since they refuse texts that JSON and lines can't carry, read rows of an answer and removed keys one by one. So they took a single text for a list of one: an answer of another form would have reached a caller as a row.

Evidence: the new case failed before, for both.

Both must be arrays, as they had to before.

--- a/Libraries/LibPeer/peer_json.cc
+++ b/Libraries/LibPeer/peer_json.cc
@@ -79,7 +79,7 @@
 
 StatementAnswer StatementAnswerFromJson(const json& value) {
   StatementAnswer answer;
-  for (const json& row : value.at(0))
+  for (const json& row : value.at(0).get_ref<const json::array_t&>())
     answer.rows.push_back(LinePartFromJson(row));
   answer.receipt = LinePartFromJson(value.at(1));
   if (const json& error = value.at(2); !error.is_null())
--- a/Libraries/LibPeer/peer_query.cc
+++ b/Libraries/LibPeer/peer_query.cc
@@ -355,7 +355,7 @@
         {NameFromJson(row.at(0)), VersionFromJson(row, 1, 2)});
   for (const json& row : body.at(3))
     query.change.puts.push_back({NameFromJson(row.at(0)), row.at(1)});
-  for (const json& key : body.at(4))
+  for (const json& key : body.at(4).get_ref<const json::array_t&>())
     query.change.removals.push_back(NameFromJson(key));
   return query;
 }
--- a/Libraries/LibPeer/peer_query_test.cc
+++ b/Libraries/LibPeer/peer_query_test.cc
@@ -1,10 +1,10 @@
 #include "LibPeer/peer_query.h"
 
 #include <doctest/doctest.h>
-
 #include <rapidcheck.h>
 
 #include <limits>
+#include <nlohmann/json.hpp>
 
 namespace kingcupmill {
 
@@ -308,6 +308,26 @@
     CHECK_FALSE(is_rejected(EncodeAnswer(1, copies)));
   }
 
+  // Guards against one text that is taken for a list of them.
+  SUBCASE("that have a text in the place of a list are rejected") {
+    using nlohmann::json;
+    const auto is_rejected = [](const json& body) {
+      return !DecodePeerBytes(json::to_cbor(json::array({1, body})))
+                  .has_value();
+    };
+    StatementAnswer answer;
+    answer.rows = {"a"};
+    json relayed =
+        json::from_cbor(EncodeAnswer(1, RelayAnswer{false, {answer}}))[1];
+    CHECK_FALSE(is_rejected(relayed));
+    relayed[2][0][0] = "a";
+    CHECK(is_rejected(relayed));
+    json change = json::from_cbor(EncodeQuery(1, StoreChangeQuery{}))[1];
+    CHECK_FALSE(is_rejected(change));
+    change[4] = "a";
+    CHECK(is_rejected(change));
+  }
+
   // Guards against an answer that adds lines to those of a caller.
   SUBCASE("that have a line end in an answer are rejected") {
     const auto is_rejected = [](const StatementAnswer& answer) {
