--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,14 +5,14 @@
 sources=review/standins-3
 output=build-review-3
 mkdir -p "$output"
-common=(socket record platform database_server slow_link deployment reader)
+common=(socket record platform database_server deployment reader)
 for name in "${common[@]}"; do
   g++ -std=c++20 -O1 -c "$sources/$name.cc" -o "$output/$name.o" &
 done
 wait
 objects=("${common[@]/#/$output/}")
 objects=("${objects[@]/%/.o}")
-for program in drain_answer large_result hup_answer; do
+for program in large_result hup_answer; do
   g++ -std=c++20 -O1 -pthread "$sources/$program.cc" \
     "${objects[@]}" -o "$output/$program"
 done
--- a/review/standins-3/hup_answer.cc
+++ b/review/standins-3/hup_answer.cc
@@ -42,10 +42,10 @@
   int cut = 0;
   for (int read = 1; read <= kReads; ++read) {
     Reader reader(record, "reader" + std::to_string(read), kItem);
-    reader.RunOnce(deployment.front(0));
-    if (reader.requests().empty())
+    const auto sent = reader.Run(deployment.front(0));
+    if (!sent)
       deployment.Finish(2);
-    const Reader::Request& request = reader.requests().back();
+    const Reader::Request& request = *sent;
     cut += request.is_complete ? 0 : 1;
     const bool is_after_signal =
         has_trouble && request.sent_at_ms >= signalled_at_ms &&
--- a/review/standins-3/large_result.cc
+++ b/review/standins-3/large_result.cc
@@ -64,9 +64,8 @@
                     "client" + std::to_string(operation + 1) + "-try" +
                         std::to_string(attempt + 1),
                     has_trouble ? kLargeItem : kSmallItem);
-      reader.RunOnce(deployment.front(turn));
-      const bool is_success =
-          !reader.requests().empty() && reader.requests().back().is_success;
+      const auto request = reader.Run(deployment.front(turn));
+      const bool is_success = request && request->is_success;
       answered += is_success ? 1 : 0;
       if (is_success)
         break;
--- a/review/standins-3/reader.h
+++ b/review/standins-3/reader.h
@@ -1,17 +1,17 @@
 #ifndef REVIEW_STANDINS_3_READER_H_
 #define REVIEW_STANDINS_3_READER_H_
 
-#include <atomic>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "record.h"
 
 namespace review {
 
-// A client that reads one item again and again in one session, with a pause,
-// until the session ends. It reads its answers as fast as they arrive.
+// A client that reads one item in a session of its own. It reads its answer as
+// fast as it arrives.
 class Reader {
  public:
   struct Request {
@@ -26,19 +26,14 @@
   };
 
   Reader(Record& record, std::string name, std::string item);
-  // Returns when the session has ended or Stop() was called.
-  void Run(const std::string& address);
-  // Sends one request and waits for its answer or the end of the connection.
-  void RunOnce(const std::string& address);
-  void Stop() { this->is_stopped = true; }
-  const std::vector<Request>& requests() const { return this->sent; }
+  // Sends the request and waits for its answer or the end of the connection.
+  // Returns nothing if there was no session.
+  std::optional<Request> Run(const std::string& address);
 
  private:
   Record& record;
   std::string name;
   std::string item;
-  std::atomic<bool> is_stopped = false;
-  std::vector<Request> sent;
 };
 
 }  // namespace review
--- a/review/standins-3/socket.cc
+++ b/review/standins-3/socket.cc
@@ -53,19 +53,11 @@
   return listener;
 }
 
-Socket Socket::Connect(const std::string& address,
-                       int segment_bytes,
-                       int receive_bytes) {
+Socket Socket::Connect(const std::string& address) {
   const size_t colon = address.rfind(':');
   const auto port = static_cast<uint16_t>(
       std::strtoul(address.c_str() + colon + 1, nullptr, 10));
   Socket connection(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  if (segment_bytes > 0)
-    setsockopt(connection.descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
-               sizeof(segment_bytes));
-  if (receive_bytes > 0)
-    setsockopt(connection.descriptor, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-               sizeof(receive_bytes));
   const sockaddr_in peer = MakeAddress(address.substr(0, colon), port);
   if (connect(connection.descriptor, Generic(peer), sizeof(peer)) != 0)
     return {};
--- a/review/standins-3/socket.h
+++ b/review/standins-3/socket.h
@@ -20,11 +20,8 @@
 
   // Listens on "ip" and `port`; port 0 means any free one.
   static Socket Listen(const std::string& ip, uint16_t port);
-  // Connects to "ip:port". A segment size and a receive buffer above 0 are set
-  // before, so that the peer keeps little of what it sends in the kernel.
-  static Socket Connect(const std::string& address,
-                        int segment_bytes = 0,
-                        int receive_bytes = 0);
+  // Connects to "ip:port".
+  static Socket Connect(const std::string& address);
   // Waits for a connection; the result is invalid when the socket was shut
   // down.
   Socket Accept() const;
